Bind only over-quota requests by learnt limits, and only once the fleet is at them

Design: the cap of the design alone bounds what is sent to a server; a server's learnt limit now serves what it can tell, which tenant gives way. A node's part of a quota is a guess (quota / nodes): a node that serves for others that are down or drained sees more, so a request past it gives way only while the requests in flight exceed the learnt limits together. The constant FULL goes.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -18,9 +18,7 @@
 const EPSILON: f64 = 0.7;
 /// Floor of the cap, shared by all nodes: a few requests a core. A node's part is 1 or more.
 const FLEET_FLOOR: f64 = 8.0;
-/// Share of all limits in flight at which a server at its limit hands no requests on.
-const FULL: f64 = 0.5;
-/// Over its quota a request may use a server's limit divided by 1 + this x the usual answer time / the aim.
+/// A request that gives way may use a server's limit divided by 1 + this x the usual answer time / the aim.
 const OVER: f64 = 6.0;
 /// Places tried before a request is held.
 const MAX_JUMPS: u64 = 32;
@@ -450,9 +448,10 @@
 
     /// The first server below its cap along the key's places; `None` if all are full.
     fn choose(&self, r: &Request) -> Option<ServerId> {
-        // Danger: with the whole fleet near its limits a jump finds no idler server, only a further miss.
-        let waits = r.over_quota || f64::from(self.in_flight) > FULL * self.fleet.limit;
-        let share = if r.over_quota { 1.0 + OVER * self.hit_time / self.tightest_aim } else { 1.0 };
+        // Danger: a node that serves for others that are down or drained sees more than its part of a quota.
+        // While the fleet has room that is no one's loss; at its limits the others' requests go first.
+        let gives_way = r.over_quota && f64::from(self.in_flight) > self.fleet.limit;
+        let part = 1.0 + OVER * self.hit_time / self.tightest_aim;
         // Danger: a zone with more traffic than its own servers carry; then part of the keys leave it.
         let at_home =
             self.fleet.near > 0 && (mix(r.key.0 ^ 1) >> 11) as f64 >= self.spill * (1u64 << 53) as f64;
@@ -469,12 +468,10 @@
             if tried || (place > 0 && cold) || !self.may_send(r, id, server) {
                 continue;
             }
-            let limit = server.limit.value / share;
-            if f64::from(server.in_flight) >= limit.floor().max(1.0) {
-                if waits {
-                    return None;
-                }
-                continue;
+            // Danger: bound by the learnt limit too, all were refused while servers had room to queue.
+            let limit = (server.limit.value / part).floor().max(self.floor());
+            if gives_way && f64::from(server.in_flight) >= limit {
+                return None;
             }
             if f64::from(server.in_flight) < self.cap(server) {
                 return Some(id.clone());
