Pass long values on as they come, in bounded pieces paced by the client

Design: the line of an answer above 64 KiB is checked for id, form and length (4 MiB at most) before anything goes out; what follows is a `Rest` that owns the cache server's connection and is read by the client's own loop while less than 32 KiB wait unread, so a slow client slows its cache server and each stream costs a piece. No task or channel stands between. A value that breaks, ends wrongly or stalls for 10 s ends the client's connection short of its length. The balancer hears of the success at the line, as the rest measures the client. Answers up to 64 KiB are still read whole, so that a spoilt one can be asked for elsewhere. What has come of commands now counts in the one memory budget; where it is full, connections that have asked for nothing go first.

Rejected: a buffer of the declared size under a semaphore; a few slow readers would hold it all, and the first byte would wait for the last.

Cause: values above 64 KiB were taken for spoilt, so each cost three attempts and the client's retry (1.18 attempts a request, 99th percentile 1.2 s).

--- a/node/src/budget.rs
+++ b/node/src/budget.rs
@@ -73,6 +73,30 @@
     }
 }
 
+/// Bytes that are held until this is dropped.
+pub struct Held {
+    budget: Rc<Budget>,
+    bytes: usize,
+}
+
+impl Held {
+    pub fn new(budget: &Rc<Budget>, bytes: usize) -> Self {
+        budget.hold(bytes);
+        Held { budget: budget.clone(), bytes }
+    }
+
+    pub fn set(&mut self, bytes: usize) {
+        self.budget.hold(bytes);
+        self.budget.release(std::mem::replace(&mut self.bytes, bytes));
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.budget.release(self.bytes);
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -83,13 +107,15 @@
         let budget = Budget::new(&limits);
         let in_all = |b: &Budget| b.servers() + b.clients() + RESERVED;
         assert_eq!(in_all(&budget), 384);
-        budget.hold(7 << 20);
+        let mut held = Held::new(&budget, 1);
+        held.set(7 << 20);
         assert!(budget.has_room());
         budget.join();
         assert!(!budget.has_room());
         assert!(2 * in_all(&budget) <= 384 && budget.clients_wanted() <= budget.clients());
         budget.leave();
         assert_eq!(in_all(&budget), 384);
-        budget.release(7 << 20);
+        drop(held);
+        assert_eq!(budget.held.get(), 0);
     }
 }
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -19,7 +19,7 @@
 use crate::figures::{End, Figures, Members, Ticket};
 use crate::lifecycle::Lifecycle;
 use crate::protocol::{self, Command, Verb};
-use crate::upstream::{Ended, Upstream};
+use crate::upstream::{Ended, Served, Upstream};
 
 /// What a request's way from the client may have taken before its bytes were read.
 const MARGIN: Duration = Duration::from_millis(2);
@@ -292,7 +292,7 @@
                 }
                 Timer::Backstop(id) => {
                     let id = RequestId(id);
-                    if self.answer(id, protocol::FAILED, End::Failed) {
+                    if self.answer(id, protocol::FAILED.into(), End::Failed) {
                         eprintln!("driver: request {} had no answer near its deadline; failed", id.0);
                         self.handle(Event::Withdrawn(id));
                     }
@@ -324,11 +324,11 @@
             Action::Cancel { request, attempt } => self.give_up(request, attempt, Status::Cancelled),
             Action::Refuse { request, retry_after } => {
                 let advice = retry_after.filter(|_| self.retry_after).map(duration);
-                self.answer(request, protocol::busy(advice), End::Rejected);
+                self.answer(request, protocol::busy(advice).into(), End::Rejected);
                 self.settle(request);
             }
             Action::Fail(request) => {
-                self.answer(request, protocol::FAILED, End::Failed);
+                self.answer(request, protocol::FAILED.into(), End::Failed);
                 self.settle(request);
             }
             Action::SetTimer { token, after } => {
@@ -418,9 +418,9 @@
     }
 
     /// Gives the final answer, unless it has been given.
-    fn answer(&mut self, id: RequestId, text: Bytes, end: End) -> bool {
+    fn answer(&mut self, id: RequestId, answer: Served, end: End) -> bool {
         // A client that went away meanwhile is told of as such.
-        self.close(id).is_some_and(|(reply, ticket)| reply.send(Answer::of(ticket, text, end)).is_ok())
+        self.close(id).is_some_and(|(reply, ticket)| reply.send(Answer::of(ticket, answer, end)).is_ok())
     }
 
     /// No answer is owed from here on, and the client's id is free again.
--- a/node/src/frontend.rs
+++ b/node/src/frontend.rs
@@ -16,19 +16,21 @@
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 use crate::answer::Answer;
-use crate::budget::Budget;
+use crate::budget::{Budget, Held};
 use crate::driver::Message;
 use crate::figures::{End, Ticket};
 use crate::lifecycle::{Lifecycle, Phase, State};
-use crate::protocol::{self, Input, MAX_VALUE};
-use crate::upstream::Upstream;
+use crate::protocol::{self, Input, MAX_WHOLE};
+use crate::upstream::{Broken, Rest, Upstream};
 
 /// Commands of one connection that may be open at once; more of them wait unread.
 const MAX_PIPELINE: usize = 64;
 /// Answers that a slow reader may leave unread before its next commands wait.
 const MAX_UNREAD: usize = 128 * 1024;
 /// A client that takes nothing of its answers for this long is gone.
-const STALLED: Duration = Duration::from_secs(10);
+pub const STALLED: Duration = Duration::from_secs(10);
+/// Bytes that a client may leave unread of a long value before no more of it is read from its cache server.
+const MAX_AHEAD: usize = 32 * 1024;
 /// From connecting to the end of the first command, and from the first byte of a later one to its last: a client
 /// that says nothing or drips bytes must not hold a connection for long.
 const PATIENCE: Duration = Duration::from_millis(2300);
@@ -169,6 +171,7 @@
     async fn connection(self: Rc<Self>, stream: TcpStream, number: u64, since: Instant, close: Rc<Notify>) {
         let mut client = Client {
             phases: self.lifecycle.follow(),
+            input_held: Held::new(&self.budget, 0),
             frontend: self,
             stream,
             number,
@@ -183,6 +186,7 @@
             output: BytesMut::new(),
             written: 0,
             unfinished: VecDeque::new(),
+            rest: None,
             pending: VecDeque::new(),
             lost: false,
             leaving: false,
@@ -218,6 +222,8 @@
     number: u64,
     since: Instant,
     close: Rc<Notify>,
+    /// What of the input is counted as held.
+    input_held: Held,
     phases: watch::Receiver<Phase>,
     opened: Instant,
     /// When the last answer was given.
@@ -233,6 +239,8 @@
     /// Bytes written so far, and the requests that end once so many are.
     written: u64,
     unfinished: VecDeque<(u64, Ticket, End)>,
+    /// What has yet to come of a long value, which is at its end in the output. Later answers wait.
+    rest: Option<(Rest, Option<(Ticket, End)>)>,
     pending: VecDeque<Pending>,
     /// The framing is lost: what is pending is answered, then the connection ends.
     lost: bool,
@@ -244,13 +252,8 @@
 
 impl Drop for Client {
     fn drop(&mut self) {
+        self.withdraw();
         let frontend = &self.frontend;
-        for pending in self.pending.drain(..) {
-            if let Pending::Waiting { id, weight, .. } = pending {
-                frontend.budget.release(weight);
-                let _ = frontend.driver.send(Message::Withdrawn(id));
-            }
-        }
         frontend.budget.release(self.output.len());
         frontend.closable.borrow_mut().remove(&(Rank::Doubtful, self.number));
         frontend.open.set(frontend.open.get() - 1);
@@ -259,9 +262,31 @@
 }
 
 impl Client {
+    fn owes(&self) -> bool {
+        !self.pending.is_empty() || !self.output.is_empty() || self.rest.is_some()
+    }
+
     /// Nothing is owed and no part of a command has come.
     fn between_requests(&self) -> bool {
-        self.pending.is_empty() && self.output.is_empty() && self.input.is_empty()
+        !self.owes() && self.input.is_empty()
+    }
+
+    /// Nobody waits for what is pending any more.
+    fn withdraw(&mut self) {
+        for pending in self.pending.drain(..) {
+            if let Pending::Waiting { id, weight, .. } = pending {
+                self.frontend.budget.release(weight);
+                let _ = self.frontend.driver.send(Message::Withdrawn(id));
+            }
+        }
+    }
+
+    /// Counts what has come of commands. Where too much is held, those go first that have asked for nothing yet.
+    fn count_input(&mut self) {
+        self.input_held.set(self.input.len());
+        if !self.input.is_empty() && !self.frontend.budget.has_room() {
+            self.frontend.make_room();
+        }
     }
 
     /// When a connection between requests is closed, with clients sent away since then. One that was opened
@@ -283,10 +308,41 @@
         } else {
             self.trusted = true;
         }
-        self.frontend.budget.hold(answer.text.len());
-        self.output.extend_from_slice(&answer.text);
-        if let Some((ticket, end)) = answer.ends {
-            self.unfinished.push_back((self.written + self.output.len() as u64, ticket, end));
+        self.put(&answer.text);
+        match answer.rest {
+            Some(rest) => self.rest = Some((rest, answer.ends)),
+            None => self.finish(answer.ends),
+        }
+    }
+
+    fn put(&mut self, bytes: &[u8]) {
+        self.frontend.budget.hold(bytes.len());
+        self.output.extend_from_slice(bytes);
+    }
+
+    /// An answer stands whole in the output, and its request ends when that is written.
+    fn finish(&mut self, ends: Option<(Ticket, End)>) {
+        let at = self.written + self.output.len() as u64;
+        self.unfinished.extend(ends.map(|(ticket, end)| (at, ticket, end)));
+    }
+
+    /// Goes on with a long value. One that is broken ends the connection: by that its client can tell.
+    fn go_on(&mut self, piece: Result<Option<Bytes>, Broken>) {
+        match piece {
+            Ok(Some(bytes)) => self.put(&bytes),
+            Ok(None) => {
+                self.put(b"\r\n");
+                if let Some((rest, ends)) = self.rest.take() {
+                    rest.finish();
+                    self.finish(ends);
+                }
+            }
+            Err(Broken) => {
+                eprintln!("frontend: a value broke off on its way to its client");
+                self.rest = None;
+                self.withdraw();
+                self.lost = true;
+            }
         }
     }
 
@@ -320,7 +376,8 @@
         let mut progress = Instant::now();
         loop {
             self.take_commands();
-            let owes = !self.pending.is_empty() || !self.output.is_empty();
+            self.count_input();
+            let owes = self.owes();
             if self.lost && !owes {
                 return self.linger().await;
             }
@@ -356,13 +413,17 @@
             let (reader, mut writer) = self.stream.split();
             tokio::select! {
                 biased;
-                answer = next_answer(&mut self.pending), if unread < MAX_UNREAD => {
+                answer = next_answer(&mut self.pending), if unread < MAX_UNREAD && self.rest.is_none() => {
                     progress = if unread == 0 { Instant::now() } else { progress };
                     if let Some(Pending::Waiting { weight, .. }) = self.pending.pop_front() {
                         frontend.budget.release(weight);
                     }
                     self.queue(answer);
                 }
+                piece = next_piece(&mut self.rest), if unread < MAX_AHEAD && self.rest.is_some() => {
+                    progress = if unread == 0 { Instant::now() } else { progress };
+                    self.go_on(piece);
+                }
                 written = writer.write(&self.output), if unread > 0 => match written {
                     Ok(written) if written > 0 => {
                         progress = Instant::now();
@@ -441,7 +502,7 @@
                 Input::Command(command) => {
                     let (reply, answer) = oneshot::channel();
                     let id = RequestId(frontend.number());
-                    let weight = command.weight() + MAX_VALUE;
+                    let weight = command.weight() + MAX_WHOLE;
                     frontend.budget.hold(weight);
                     let at = self.read_at;
                     // The driver is gone only when the program ends.
@@ -467,6 +528,14 @@
     reader.readable().await
 }
 
+/// What comes next of a long value.
+async fn next_piece(rest: &mut Option<(Rest, Option<(Ticket, End)>)>) -> Result<Option<Bytes>, Broken> {
+    match rest {
+        None => std::future::pending().await,
+        Some((rest, _)) => rest.next().await,
+    }
+}
+
 /// The answer to the oldest command; it stays at the head of the queue.
 async fn next_answer(pending: &mut VecDeque<Pending>) -> Answer {
     match pending.front_mut() {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -192,7 +192,8 @@
     };
     tokio::select! {
         () = stop => {}
-        () = sleep(leave_after) => eprintln!("ivycroft: left with clients still connected"),
+        // Slow clients may take longer than the platform waits, but what is cut off here would be lost for sure.
+        () = sleep(leave_after + frontend::STALLED) => eprintln!("ivycroft: left with clients still connected"),
         _ = driver => return Err(Wrong("driver: ended".into())),
     }
     Ok(())
--- a/node/src/protocol.rs
+++ b/node/src/protocol.rs
@@ -7,8 +7,11 @@
 use bytes::{Buf, Bytes, BytesMut};
 use slipbridge::{CacheNote, Key};
 
-/// Longest value that a command or an answer may hold.
-pub const MAX_VALUE: usize = 64 * 1024;
+/// Longest value of an answer.
+pub const MAX_VALUE: usize = 4 << 20;
+/// Longest value that is held as a whole: of a command, and of an answer that is checked to its end before it goes
+/// on. Longer ones go on as they come.
+pub const MAX_WHOLE: usize = 64 * 1024;
 /// Longest line, without its end.
 pub const MAX_LINE: usize = 2048;
 /// Longest key, as everywhere in this protocol.
@@ -91,7 +94,7 @@
     let words: Vec<&str> = text.split(' ').collect();
     let length = match (words[0], words.get(2)) {
         ("ms", Some(length)) => match figure::<usize>(length) {
-            Some(length) if length <= MAX_VALUE => Some(length),
+            Some(length) if length <= MAX_WHOLE => Some(length),
             Some(_) => return Some(TOO_LARGE),
             None => return Some(BAD_BLOCK),
         },
@@ -232,6 +235,8 @@
 #[derive(Debug, PartialEq)]
 pub enum Body {
     Value(Bytes),
+    /// A value of this length, of which only the line was taken off.
+    Long(usize),
     Receipt(Bytes),
 }
 
@@ -239,7 +244,7 @@
 #[derive(Debug, PartialEq, Eq)]
 pub struct Malformed;
 
-/// Takes the next answer off `buf`; `None` until it is whole.
+/// Takes the next answer off `buf`; `None` until it is whole, or its line if its value is long.
 pub fn next_reply(buf: &mut BytesMut) -> Result<Option<Reply>, Malformed> {
     let Some(end) = line_length(buf).map_err(|()| Malformed)? else { return Ok(None) };
     let line = buf[..end].strip_suffix(b"\r").ok_or(Malformed)?;
@@ -261,7 +266,8 @@
         }
         _ => return Err(Malformed),
     };
-    let block = length.map_or(0, |length| length + 2);
+    let long = length.is_some_and(|length| length > MAX_WHOLE);
+    let block = length.filter(|_| !long).map_or(0, |length| length + 2);
     if buf.len() < end + 1 + block {
         return Ok(None);
     }
@@ -276,6 +282,7 @@
     };
     buf.advance(end + 1);
     let body = match length {
+        Some(length) if long => Body::Long(length),
         Some(length) => {
             let mut value = buf.split_to(block).freeze();
             if &value[length..] != b"\r\n" {
@@ -289,12 +296,16 @@
     Ok(Some(Reply::Served { opaque, body, note }))
 }
 
-/// The client's answer out of a cache server's. `None` if that is not an answer to this command: passing it
+/// The client's answer out of a cache server's; of one with a long value its line. `None` if that is not an answer to this command: passing it
 /// on would serve one client what was made for another.
 pub fn served(command: &Command, opaque: &[u8], body: &Body) -> Option<Bytes> {
     let mut out = Vec::new();
     match (command.verb, body) {
         _ if opaque != command.opaque() => return None,
+        (Verb::Get, Body::Long(length)) => {
+            out.extend_from_slice(format!("VA {length} O").as_bytes());
+            out.extend_from_slice(opaque);
+        }
         (Verb::Get, Body::Value(value)) => {
             out.extend_from_slice(format!("VA {} O", value.len()).as_bytes());
             out.extend_from_slice(opaque);
@@ -487,7 +498,8 @@
         for text in [
             "VA x O9b1f\r\n",
             "VA +1 O9b1f\r\na\r\n",
-            "VA 65537 O9b1f\r\n",
+            "VA 4194305 O9b1f\r\n",
+            "VA 65537\r\n",
             "VA 1 O9b1f\r\nabc",
             "VA 1\r\na\r\n",
             "HD O9b1f\r\n",
@@ -502,6 +514,16 @@
         assert_eq!(reply(&[b'V'; MAX_LINE + 2]), Err(Malformed));
     }
 
+    #[test]
+    fn of_a_long_value_only_the_line_is_taken() {
+        let mut buf = BytesMut::from(&b"VA 65537 O9b1f h1\r\nabc"[..]);
+        let Ok(Some(Reply::Served { opaque, body, .. })) = next_reply(&mut buf) else { panic!("an answer") };
+        assert_eq!((&opaque[..], &body, &buf[..]), (&b"9b1f"[..], &Body::Long(65537), &b"abc"[..]));
+        assert_eq!(served(&parsed(GET), &opaque, &body).unwrap(), "VA 65537 O9b1f\r\n");
+        assert_eq!(served(&parsed(SET), &opaque, &body), None);
+        assert_eq!(served(&parsed(GET), b"9b1e", &body), None);
+    }
+
     /// A line that proves nothing must not let a request go out again; a load report spoils no answer.
     #[test]
     fn busy_is_believed_only_as_it_is_worded() {
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -15,10 +15,10 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep_until, timeout_at, Instant};
 
-use crate::budget::Budget;
+use crate::budget::{Budget, Held};
 use crate::discovery::Roster;
 use crate::figures::Figures;
-use crate::protocol::{self, Command, Reply};
+use crate::protocol::{self, Body, Command, Reply};
 
 /// A connection is used again only so long after its last answer: more than belongs to that may still come, and
 /// would be read as the next one's.
@@ -26,12 +26,29 @@
 /// Room for a read, so that a long value does not come in many small ones.
 const READ_CHUNK: usize = 8 * 1024;
 
+/// A cache server that gives nothing of a value that is taken from it for this long will not go on.
+const STALLED: Duration = Duration::from_secs(10);
+
+/// The client's answer, as far as it has come.
+#[derive(Debug)]
+pub struct Served {
+    pub text: Bytes,
+    /// What follows, of a long value.
+    pub rest: Option<Rest>,
+}
+
+impl From<Bytes> for Served {
+    fn from(text: Bytes) -> Self {
+        Served { text, rest: None }
+    }
+}
+
 /// How an attempt ended, and the client's answer where it was served.
-#[derive(Debug, PartialEq)]
+#[derive(Debug)]
 pub struct Ended {
     pub status: Status,
     pub note: Option<CacheNote>,
-    pub answer: Option<Bytes>,
+    pub answer: Option<Served>,
 }
 
 impl From<Status> for Ended {
@@ -93,6 +110,72 @@
     }
 }
 
+/// The value has broken off, or does not end as it should.
+#[derive(Debug)]
+pub struct Broken;
+
+/// The rest of a long value. It is read as its client takes it, so that a slow client slows its cache server down
+/// and a piece is all that is held.
+pub struct Rest {
+    upstream: Rc<Upstream>,
+    server: ServerId,
+    connection: Connection,
+    buf: BytesMut,
+    /// Bytes of the value that have not been given.
+    left: usize,
+    /// Since when more of it is waited for.
+    asked: Option<Instant>,
+    _held: Held,
+}
+
+impl std::fmt::Debug for Rest {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} bytes of {}", self.left, self.server.0)
+    }
+}
+
+impl Rest {
+    fn new(
+        upstream: Rc<Upstream>,
+        server: ServerId,
+        connection: Connection,
+        buf: BytesMut,
+        left: usize,
+    ) -> Self {
+        let _held = Held::new(&upstream.budget, READ_CHUNK);
+        Rest { upstream, server, connection, buf, left, asked: None, _held }
+    }
+
+    /// The next piece, or `None` once the value is whole. Nothing is lost when the future is dropped.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, Broken> {
+        loop {
+            let ready = self.left.min(self.buf.len());
+            if ready > 0 {
+                self.left -= ready;
+                return Ok(Some(self.buf.split_to(ready).freeze()));
+            }
+            if self.left == 0 && self.buf.len() >= 2 {
+                let end = self.buf.split_to(2);
+                return if end == b"\r\n"[..] { Ok(None) } else { Err(Broken) };
+            }
+            let asked = *self.asked.get_or_insert_with(Instant::now);
+            self.buf.reserve(READ_CHUNK);
+            match timeout_at(asked + STALLED, self.connection.stream.read_buf(&mut self.buf)).await {
+                Ok(Ok(read)) if read > 0 => self.asked = None,
+                _ => return Err(Broken),
+            }
+        }
+    }
+
+    /// The value is whole, and its connection is good for another attempt.
+    pub fn finish(self) {
+        let Rest { upstream, server, connection, buf, .. } = self;
+        if buf.is_empty() {
+            upstream.keep(&server, connection);
+        }
+    }
+}
+
 struct Idle {
     connection: Connection,
     since: Instant,
@@ -238,7 +321,7 @@
     /// One attempt. `written` is set once the last byte is: from then on the command may have run. Dropping
     /// the future closes the connection, which gives the attempt up.
     pub async fn attempt(
-        &self,
+        self: &Rc<Self>,
         server: &ServerId,
         command: &Command,
         until: Instant,
@@ -279,10 +362,16 @@
         let ended = match reply {
             Reply::Busy => Status::Overloaded.into(),
             Reply::Failed => Status::Error.into(),
-            Reply::Served { opaque, body, note } => match protocol::served(command, &opaque, &body) {
-                Some(answer) => Ended { status: Status::Success, note, answer: Some(answer) },
-                None => return SPOILT.into(),
-            },
+            Reply::Served { opaque, body, note } => {
+                let Some(text) = protocol::served(command, &opaque, &body) else { return SPOILT.into() };
+                let served =
+                    |rest| Ended { status: Status::Success, note, answer: Some(Served { text, rest }) };
+                if let Body::Long(length) = body {
+                    let rest = Rest::new(self.clone(), server.clone(), connection, buf, length);
+                    return served(Some(rest));
+                }
+                served(None)
+            }
         };
         if buf.is_empty() {
             self.keep(server, connection);
@@ -302,9 +391,13 @@
     const LONG: Duration = Duration::from_secs(20);
 
     /// With so many connections at most.
-    fn upstream(grace: Duration, most: usize) -> Upstream {
+    fn upstream(grace: Duration, most: usize) -> Rc<Upstream> {
         let limits = Limits { sockets: RESERVED + 3 * most, ..Limits::default() };
-        Upstream::new(Bounds { dial: LONG, idle: LONG, grace }, Budget::new(&limits), Figures::new([]))
+        Rc::new(Upstream::new(
+            Bounds { dial: LONG, idle: LONG, grace },
+            Budget::new(&limits),
+            Figures::new([]),
+        ))
     }
 
     fn roster(listener: &TcpListener, phase: &str) -> Roster {
--- a/node/tests/rig/mod.rs
+++ b/node/tests/rig/mod.rs
@@ -25,6 +25,8 @@
     Silence,
     /// Serves it once the sender has been dropped.
     ServeAfter(Receiver<()>),
+    /// Answers with these bytes and, once the sender has been dropped, with those.
+    SayInTwo(Vec<u8>, Receiver<()>, Vec<u8>),
 }
 
 /// What a cache server saw, with the number of the connection.
@@ -97,6 +99,11 @@
                     return writer.shutdown(Shutdown::Both);
                 }
                 Act::Silence => {}
+                Act::SayInTwo(first, gate, second) => {
+                    writer.write_all(&first)?;
+                    let _ = gate.recv();
+                    writer.write_all(&second)?;
+                }
                 Act::ServeAfter(gate) => {
                     let _ = gate.recv();
                     writer.write_all(served.as_bytes())?;
@@ -418,6 +425,13 @@
         assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
     }
 
+    /// The most memory that the node has held so far, in kB.
+    pub fn peak_memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let peak = |line: &str| line.strip_prefix("VmHWM:")?.trim().strip_suffix(" kB")?.parse().ok();
+        status.lines().find_map(peak).expect("a figure")
+    }
+
     pub fn wait(mut self) -> ExitStatus {
         self.child.wait().unwrap()
     }
