--- a/node/src/frontend.rs
+++ b/node/src/frontend.rs
@@ -36,6 +36,8 @@
 const PATIENCE: Duration = Duration::from_millis(2300);
 /// Connections on which nothing was asked for so long are closed; usual clients ask more often.
 const IDLE: Duration = Duration::from_secs(10);
+/// Connections between requests for so long cost their clients little when they are closed.
+const LONG_IDLE: Duration = Duration::from_secs(2);
 /// Younger connections may belong to usual clients whose first command is on its way, if they are few.
 const YOUNG: Duration = Duration::from_millis(100);
 /// Nothing is read from a client for so long after an answer that turned it away: it would ask again at once.
@@ -151,9 +153,14 @@
         self.next_number.replace(self.next_number.get() + 1)
     }
 
-    /// Asks one connection to close, if any may be.
+    /// Asks one connection to close, if any may be. One long between requests goes first: a half-open one may be a
+    /// usual client that takes its time.
     fn make_room(&self) -> bool {
         let mut closable = self.closable.borrow_mut();
+        let idlest = closable.range(IDLEST..).next().filter(|(_, c)| c.since.elapsed() >= LONG_IDLE);
+        if let Some(key) = idlest.map(|(key, _)| *key) {
+            return closable.remove(&key).inspect(|c| c.close.notify_one()).is_some();
+        }
         let Some((&first, entry)) = closable.first_key_value() else { return false };
         let few = closable.keys().nth(self.budget.clients() / 8).is_none_or(|key| *key >= IDLEST);
         let spare = few && entry.since.elapsed() < YOUNG;
@@ -161,6 +168,15 @@
         closable.remove(&key).inspect(|c| c.close.notify_one()).is_some()
     }
 
+    /// Closes what may be closed above the budget, which shrinks when another process comes to share it.
+    pub fn shed(&self) {
+        for _ in self.budget.clients()..self.open.get() {
+            if !self.make_room() {
+                return;
+            }
+        }
+    }
+
     /// No connection comes any more: waits until all are closed.
     pub async fn finish(&self) {
         while self.open.get() > 0 {
@@ -588,4 +604,24 @@
         };
         LocalSet::new().run_until(run).await;
     }
+
+    /// A connection that was long between requests makes room before a half-open one does; a fresh one does not.
+    #[tokio::test]
+    async fn the_long_idle_make_room_before_the_half_open() {
+        let second = Duration::from_secs(1);
+        let bounds = Bounds { dial: second, idle: second, grace: second };
+        let budget = Budget::new(&Limits::default());
+        let upstream = Rc::new(Upstream::new(bounds, budget.clone(), Figures::new([])));
+        let frontend = Frontend::new(unbounded_channel().0, upstream, Lifecycle::new(), second, budget);
+        let (now, close) = (Instant::now(), Rc::new(Notify::new()));
+        let half_open = Place::take(&frontend, (Rank::Doubtful, 1), now - second, &close);
+        let _long_idle = Place::take(&frontend, (Rank::Idle, 2), now - LONG_IDLE, &close);
+        let _idle = Place::take(&frontend, (Rank::Idle, 3), now, &close);
+        let left = || frontend.closable.borrow().keys().map(|(_, number)| *number).collect::<Vec<_>>();
+        assert!(frontend.make_room());
+        assert_eq!(left(), [1, 3]);
+        assert!(frontend.make_room());
+        assert_eq!(left(), [3]);
+        drop(half_open);
+    }
 }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -79,7 +79,7 @@
     let mut phases = lifecycle.follow();
     tokio::select! {
         // The lifecycle outlives this.
-        _ = phases.wait_for(|phase| phase.state != State::Starting) => predecessor.relieve().await,
+        _ = phases.wait_for(|phase| phase.state == State::Ready) => predecessor.relieve().await,
         () = predecessor.gone() => {}
     }
     tokio::task::spawn_local(async move {
@@ -159,11 +159,13 @@
     let discovery = Discovery::new(discovery_at, settings.membership, clock, messages);
     tokio::task::spawn_local(discovery.run(called));
     let mut driver = tokio::task::spawn_local(driver.run(inbox));
+    let swept = frontend.clone();
     tokio::task::spawn_local(async move {
         let mut ticks = interval(SWEEP);
         loop {
             ticks.tick().await;
             upstream.sweep();
+            swept.shed();
         }
     });
     let (successor, succeeded) = watch::channel(Successor::None);
--- a/node/src/takeover.rs
+++ b/node/src/takeover.rs
@@ -157,8 +157,8 @@
     Ok(door)
 }
 
-/// Offers the socket to one successor after another, for ever. The socket is the caller's: once it is closed there
-/// is nothing to hand over.
+/// Offers the socket to one successor after another. The socket is the caller's: once it is closed there is nothing
+/// to hand over.
 pub struct Offer {
     pub path: PathBuf,
     pub socket: Weak<TcpListener>,
@@ -168,7 +168,8 @@
 
 impl Offer {
     pub async fn run(self) {
-        loop {
+        // A door of a process that stops would hide that of the process that comes after it.
+        while self.socket.strong_count() > 0 {
             let door = match publish(&self.path) {
                 Ok(door) => door,
                 Err(error) => {
@@ -262,10 +263,8 @@
             told.wait_for(|successor| *successor == Successor::None).await.unwrap();
             assert!(claim(&path, address).await.is_err(), "nothing is left to hand over");
         };
-        tokio::select! {
-            () = offer.run() => panic!("offers for ever"),
-            () = claims => {}
-        }
+        // An offer ends with its socket.
+        tokio::join!(offer.run(), claims);
     }
 
     /// Whatever is at the name, a claim ends soon and without a socket, and a door can be put there.
--- a/node/tests/node.rs
+++ b/node/tests/node.rs
@@ -590,13 +590,24 @@
         assert_eq!(text.lines().count(), 1, "{text}");
         text
     };
+    let mut unset = Command::new(env!("CARGO_BIN_EXE_ivycroft"));
+    unset.env("RELAY_CONFIG", write_config(&good.replace("\"operator\":\"127.0.0.1:0\",", "")));
+    let output = unset.env("RELAY_OPERATOR", "here").output().unwrap();
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert!(
+        !output.status.success() && text.lines().count() == 1 && text.contains("RELAY_OPERATOR"),
+        "{text}"
+    );
     assert!(run(None).contains("RELAY_CONFIG"));
     assert!(run(Some("no/such/file".as_ref())).contains("no/such/file"));
     for (from, to, names) in [
         ("\"name\"", "name", "line 1 column 2"),
         ("\"seed\":\"8c1f30d27a5be964\"", "\"seed\":\"xyz\"", "seed"),
         ("\"seed\":\"8c1f30d27a5be964\",", "", "seed"),
-        ("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"here\"", "address"),
+        ("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"here\"", "listen: "),
+        ("\"operator\":\"127.0.0.1:0\"", "\"operator\":7", "operator: "),
+        ("\"sockets\":1024", "\"sockets\":8", "limits.sockets: "),
+        ("\"memory_mb\":192", "\"memory_mb\":0", "limits.memory_mb: "),
         ("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"192.0.2.1:0\"", "listen 192.0.2.1:0"),
         ("\"balancers\":1", "\"balancers\":0", "balancers"),
         ("\"idle-close-s\":60", "\"idle-close-s\":\"x\"", "idle-close-s"),
@@ -911,3 +922,40 @@
     }
     assert!(node.peak_memory() < 24 << 10, "{} kB for 96 MB of values", node.peak_memory());
 }
+
+/// Under load, a stop answers all that it takes: a connection ends between requests and never in place of an answer.
+#[test]
+fn sigterm_under_load_leaves_no_request_unanswered() {
+    let (node, server, _list) = with_one(|_| Act::Serve);
+    let address = node.address;
+    let (tell, served_one) = channel();
+    let clients: Vec<_> = (0..8)
+        .map(|c| {
+            let tell = tell.clone();
+            std::thread::spawn(move || {
+                let mut client = Client::over(TcpStream::connect(address).unwrap());
+                let mut answered = 0;
+                loop {
+                    let id = format!("z{c}x{answered}");
+                    if client.stream.write_all(read("k", &id, 9000).as_bytes()).is_err() {
+                        return answered;
+                    }
+                    let answer = client.answer();
+                    if answer.is_empty() {
+                        return answered;
+                    }
+                    assert!(answer == served(&id) || answer == "SERVER_ERROR busy\r\n", "{answer}");
+                    answered += 1;
+                    let _ = tell.send(());
+                }
+            })
+        })
+        .collect();
+    for _ in 0..100 {
+        served_one.recv().unwrap();
+    }
+    node.signal("-TERM");
+    let answered: usize = clients.into_iter().map(|client| client.join().unwrap()).sum();
+    assert_eq!(node.wait().code(), Some(0));
+    assert!(server.commands().len() <= answered, "each request that went on was answered");
+}
