Keep connections in use for a while when clients are sent away without a successor

Design: `lifecycle` also says whether another process accepts at the address. If not (a drain, a plain restart), connections serve as ever for 1.5 s and then close between requests, since their clients may find no other node until the front has moved them. If so, each closes behind its next answer, as a new connection costs nothing there.

Ruled out: a slow restart (the platform's times are the same however soon the node ends).

Tried and dropped: letting half-sent first requests make room last.

--- a/node/src/frontend.rs
+++ b/node/src/frontend.rs
@@ -56,8 +56,8 @@
     driver: UnboundedSender<Message>,
     upstream: Rc<Upstream>,
     lifecycle: Rc<Lifecycle>,
-    /// From when clients are sent away, a connection that is kept may have one more request for so long: a close
-    /// that crosses with a request costs its client a second try, and one behind an answer crosses with none.
+    /// From when clients are sent away, connections are kept for so long: clients use them until the front has moved
+    /// them, and may find no other meanwhile.
     part_after: Duration,
     /// Numbers requests, and idle connections by age; none comes twice.
     next_number: Cell<u64>,
@@ -305,15 +305,17 @@
         }
     }
 
-    /// When a connection between requests is closed, with clients sent away since then. One that was opened
-    /// since is here to ask something, unless nobody will be here to answer.
+    /// When a connection between requests is closed, where clients are sent away. Until then it is used as ever; one
+    /// that is opened later has its first answer, unless nobody will be here to give it.
     fn parts_at(&self, phase: &Phase) -> Option<Instant> {
         let away = phase.sent_away()?;
-        let newcomer = self.opened >= away && phase.state != State::Stopping;
-        match self.answered {
-            Some(at) if at >= away => Some(at),
-            _ => (!newcomer).then_some(away + self.frontend.part_after),
+        let part = away + self.frontend.part_after;
+        if phase.relieved {
+            // Where another process takes the client at once, a close behind an answer crosses with no request.
+            return Some(self.answered.filter(|at| *at >= away).unwrap_or(part));
         }
+        let newcomer = self.opened >= part && phase.state == State::Draining && self.answered.is_none();
+        (!newcomer).then_some(part)
     }
 
     /// Takes the answer to the oldest command, whose last byte ends its request.
--- a/node/src/lifecycle.rs
+++ b/node/src/lifecycle.rs
@@ -35,6 +35,8 @@
     pub since: Instant,
     /// Whether a cache server was ever known: where a drain that is undone leads back to.
     can_serve: bool,
+    /// Whether another process accepts at this address, so that clients sent away come back to it at once.
+    pub relieved: bool,
 }
 
 impl Phase {
@@ -54,7 +56,8 @@
 
 impl Lifecycle {
     pub fn new() -> Rc<Self> {
-        let phase = Phase { state: State::Starting, since: Instant::now(), can_serve: false };
+        let phase =
+            Phase { state: State::Starting, since: Instant::now(), can_serve: false, relieved: false };
         Rc::new(Lifecycle { phase: watch::Sender::new(phase) })
     }
 
@@ -84,28 +87,28 @@
     }
 
     pub fn drain(&self) -> Result<(), AlreadyStopping> {
-        self.turn(|_| State::Draining)
+        self.turn(|_| State::Draining, false)
     }
 
     /// Back to what the node would be had it never been drained.
     pub fn resume(&self) -> Result<(), AlreadyStopping> {
-        self.turn(|phase| if phase.can_serve { State::Ready } else { State::Starting })
+        self.turn(|phase| if phase.can_serve { State::Ready } else { State::Starting }, false)
     }
 
-    pub fn stop(&self) {
+    pub fn stop(&self, relieved: bool) {
         // Stopping already is what was asked for.
-        let _ = self.turn(|_| State::Stopping);
+        let _ = self.turn(|_| State::Stopping, relieved);
     }
 
     /// A call that changes nothing leaves the time of the last change as it is.
-    fn turn(&self, to: impl FnOnce(&Phase) -> State) -> Result<(), AlreadyStopping> {
+    fn turn(&self, to: impl FnOnce(&Phase) -> State, relieved: bool) -> Result<(), AlreadyStopping> {
         let phase = self.phase();
         if phase.state == State::Stopping {
             return Err(AlreadyStopping);
         }
         let state = to(&phase);
         if state != phase.state {
-            self.phase.send_replace(Phase { state, since: Instant::now(), ..phase });
+            self.phase.send_replace(Phase { state, since: Instant::now(), relieved, ..phase });
         }
         Ok(())
     }
@@ -138,9 +141,9 @@
     fn a_stop_is_final() {
         let life = Lifecycle::new();
         life.can_serve();
-        life.stop();
+        life.stop(false);
         let since = life.phase().since;
-        life.stop();
+        life.stop(false);
         assert_eq!((life.drain(), life.resume()), (Err(AlreadyStopping), Err(AlreadyStopping)));
         life.can_serve();
         assert_eq!((life.state(), life.phase().since), (State::Stopping, since));
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -43,7 +43,7 @@
 const LEAST_NOTICE: Duration = Duration::from_secs(3);
 /// The node is gone a little ahead of the kill.
 const LEAVE: Duration = Duration::from_millis(600);
-/// Time that a connection sent away may have for its last request, where there is time enough to answer it too.
+/// For how long connections are kept that are sent away, where there is time enough to answer their last requests.
 const PART_AFTER: Duration = Duration::from_millis(1500);
 /// How often kept connections are looked at.
 const SWEEP: Duration = Duration::from_secs(1);
@@ -186,7 +186,7 @@
         _ = terminate.recv() => {}
     }
     eprintln!("ivycroft: stopping");
-    lifecycle.stop();
+    lifecycle.stop(*succeeded.borrow() == Successor::Serving);
     let stop = async {
         let _ = timeout(STILL_COMING, accept(&frontend, &listener, succeeded)).await;
         drop(listener);
--- a/node/tests/node.rs
+++ b/node/tests/node.rs
@@ -689,7 +689,7 @@
     assert_eq!(node.figure("app_members_unavailable"), 1);
 }
 
-/// A drained node says no and closes its connections, each behind an answer; called back it is as before.
+/// A drained node says no and closes its connections between requests; called back it is as before.
 #[test]
 fn a_drain_sends_clients_away_until_the_node_is_called_back() {
     let (open, gate) = channel();
@@ -707,7 +707,9 @@
     for _ in 0..2 {
         assert_eq!(node.call("drain\n"), "ok draining\n");
     }
-    assert_eq!(busy.ask(&read("k", "d2", 9000)), served("d2"), "a kept connection has one request more");
+    for id in ["d2", "d3"] {
+        assert_eq!(busy.ask(&read("k", id, 9000)), served(id), "a kept connection is used for a while");
+    }
     assert_eq!(busy.answer(), "");
     assert_eq!(node.call("ready\n"), "fail draining\n");
     let mut late = node.connect();
@@ -723,7 +725,7 @@
     assert_eq!(node.call("ready\n"), "ok ready\n");
     let mut client = node.connect();
     assert_eq!(client.ask("mn\r\n"), "MN\r\n");
-    for id in ["d3", "d4"] {
+    for id in ["d4", "d5"] {
         assert_eq!(client.ask(&read("k", id, 9000)), served(id), "kept open again");
     }
     node.call("drain\n");
