--- a/node/tests/node.rs
+++ b/node/tests/node.rs
@@ -19,6 +19,17 @@
     (Setup { known, ..Setup::default() }.start(discovery), server, list)
 }
 
+/// Serves all but the first command for the key `slow`, and that once the sender has been dropped.
+fn slow_key() -> (Sender<()>, impl Fn(&str) -> Act + Send + Sync + 'static) {
+    let (open, gate) = channel();
+    let gate = Mutex::new(Some(gate));
+    let rule = move |line: &str| match line.contains("slow") {
+        true => Act::ServeAfter(gate.lock().unwrap().take().unwrap()),
+        false => Act::Serve,
+    };
+    (open, rule)
+}
+
 /// An address at which nothing listens.
 fn nowhere() -> std::net::SocketAddr {
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
@@ -44,12 +55,8 @@
 /// connection of its own, and later ones use what is kept.
 #[test]
 fn pipelined_commands_are_answered_in_order_over_connections_that_are_kept() {
-    let (open, gate) = channel();
-    let gate = Mutex::new(Some(gate));
-    let (node, server, _list) = with_one(move |line| match line.contains("slow") {
-        true => Act::ServeAfter(gate.lock().unwrap().take().unwrap()),
-        false => Act::Serve,
-    });
+    let (open, slow) = slow_key();
+    let (node, server, _list) = with_one(slow);
     let mut client = node.connect();
     client.send(&(read("slow", "a1", 9000) + &read("fast", "a2", 9000) + "mn\r\n"));
     let both = server.command() + &server.command();
@@ -300,12 +307,8 @@
 /// What the node holds goes on.
 #[test]
 fn sighup_moves_discovery_and_nothing_else() {
-    let (open, gate) = channel();
-    let gate = Mutex::new(Some(gate));
-    let (node, first, list) = with_one(move |line| match line.contains("slow") {
-        true => Act::ServeAfter(gate.lock().unwrap().take().unwrap()),
-        false => Act::Serve,
-    });
+    let (open, slow) = slow_key();
+    let (node, first, list) = with_one(slow);
     list.set(&[member("s-1", first.address, "ready")]);
     let mut holding = node.connect();
     holding.send(&read("slow", "t1", 9000));
@@ -549,12 +552,8 @@
 /// What is held is answered, what still comes is served, and the node ends when nobody is left.
 #[test]
 fn sigterm_ends_the_node_when_all_is_answered() {
-    let (open, gate) = channel();
-    let gate = Mutex::new(Some(gate));
-    let (node, server, _list) = with_one(move |line| match line.contains("slow") {
-        true => Act::ServeAfter(gate.lock().unwrap().take().unwrap()),
-        false => Act::Serve,
-    });
+    let (open, slow) = slow_key();
+    let (node, server, _list) = with_one(slow);
     let mut holding = node.connect();
     holding.send(&read("slow", "q1", 9000));
     server.command();
@@ -692,12 +691,8 @@
 /// A drained node says no and closes its connections between requests; called back it is as before.
 #[test]
 fn a_drain_sends_clients_away_until_the_node_is_called_back() {
-    let (open, gate) = channel();
-    let gate = Mutex::new(Some(gate));
-    let (node, server, _list) = with_one(move |line| match line.contains("slow") {
-        true => Act::ServeAfter(gate.lock().unwrap().take().unwrap()),
-        false => Act::Serve,
-    });
+    let (open, slow) = slow_key();
+    let (node, server, _list) = with_one(slow);
     let mut holding = node.connect();
     holding.send(&read("slow", "d1", 9000));
     server.command();
@@ -738,12 +733,8 @@
 
 /// A node with one cache server that holds what is asked of the key `slow` until the sender is dropped.
 fn with_a_slow_key(folder: &Folder) -> (Setup, std::net::SocketAddr, Sender<()>, CacheServer, List) {
-    let (open, gate) = channel();
-    let gate = Mutex::new(Some(gate));
-    let server = CacheServer::start(move |line| match line.contains("slow") {
-        true => Act::ServeAfter(gate.lock().unwrap().take().unwrap()),
-        false => Act::Serve,
-    });
+    let (open, slow) = slow_key();
+    let server = CacheServer::start(slow);
     let known = member("s-1", server.address, "ready");
     let (list, discovery) = List::start(std::slice::from_ref(&known));
     (Setup { known, folder: Some(folder.0.clone()), ..Setup::default() }, discovery, open, server, list)
@@ -928,7 +919,11 @@
 /// Under load, a stop answers all that it takes: a connection ends between requests and never in place of an answer.
 #[test]
 fn sigterm_under_load_leaves_no_request_unanswered() {
-    let (node, server, _list) = with_one(|_| Act::Serve);
+    // Each takes a moment, so that some are out at any time.
+    let (node, server, _list) = with_one(|_| {
+        std::thread::sleep(std::time::Duration::from_millis(20));
+        Act::Serve
+    });
     let address = node.address;
     let (tell, served_one) = channel();
     let clients: Vec<_> = (0..8)
