Lay the workspace out as crates by concern, under names that say hallpin

Need: every subsystem to come gets a crate of its own, and dependencies are to point one way; the old names were a former operator's. No behaviour changes.

--- a/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,7 +4,7 @@
 //! [`Action`]s that it answers. It has no clock, no threads and no I/O; the same events give the same actions.
 //!
 //! ```
-//! use slipbridge::*;
+//! use hallpin_decisions::*;
 //!
 //! # fn main() -> Result<(), SettingsError> {
 //! let read = Class {
--- a/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use slipbridge::*;
+use hallpin_decisions::*;
 
 pub const READ: ClassId = ClassId(0);
 pub const KEYED: ClassId = ClassId(1);
--- a/tests/random.rs
+++ b/crates/decisions/tests/random.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use common::*;
-use slipbridge::*;
+use hallpin_decisions::*;
 
 struct Rng(u64);
 
--- a/tests/rules.rs
+++ b/crates/decisions/tests/rules.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use common::*;
-use slipbridge::*;
+use hallpin_decisions::*;
 
 fn fleet(n: u64) -> Vec<RosterEntry> {
     (1..=n).map(entry).collect()
--- a/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hallpin_decisions::Settings;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use serde_json::Value;
-use slipbridge::Settings;
 
 /// Descriptors for everything but clients and cache servers: those of the operators' callers, the listeners, the
 /// calls to discovery, a takeover, and the runtime's own.
--- a/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hallpin_decisions::{Membership, RosterEntry, ServerId, ServerState};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
-use slipbridge::{Membership, RosterEntry, ServerId, ServerState};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{Receiver, UnboundedSender};
 use tokio::sync::watch;
--- a/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
-use slipbridge::*;
+use hallpin_decisions::*;
 use tokio::sync::mpsc::{Sender, UnboundedReceiver, UnboundedSender};
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
--- a/node/src/frontend.rs
+++ b/crates/node/src/frontend.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
-use slipbridge::RequestId;
+use hallpin_decisions::RequestId;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::ReadHalf;
 use tokio::net::{TcpListener, TcpStream};
--- a/node/src/main.rs
+++ b/crates/node/src/lib.rs
@@ -55,7 +55,7 @@
             Ok(address) => {
                 discovery.send_if_modified(|at| std::mem::replace(at, address) != address);
             }
-            Err(Wrong(what)) => eprintln!("ivycroft: {what}; the old configuration stands"),
+            Err(Wrong(what)) => eprintln!("hallpin-node: {what}; the old configuration stands"),
         }
     }
 }
@@ -146,10 +146,10 @@
     let (listener, predecessor) = listen(config.listen).await?;
     let listener = Rc::new(listener);
     let address = listener.local_addr().map_err(wrong("listen"))?;
-    eprintln!("ivycroft: listening on {address}");
+    eprintln!("hallpin-node: listening on {address}");
     if let Some(address) = operator_at {
         let listener = TcpListener::bind(address).await.map_err(wrong(&format!("operator {address}")))?;
-        eprintln!("ivycroft: operators call at {}", listener.local_addr().map_err(wrong("operator"))?);
+        eprintln!("hallpin-node: operators call at {}", listener.local_addr().map_err(wrong("operator"))?);
         let operator = Operator::new(lifecycle.clone(), figures, messages.clone());
         tokio::task::spawn_local(operator.accept(listener));
     }
@@ -185,7 +185,7 @@
         _ = &mut driver => return Err(Wrong("driver: ended".into())),
         _ = terminate.recv() => {}
     }
-    eprintln!("ivycroft: stopping");
+    eprintln!("hallpin-node: stopping");
     lifecycle.stop(*succeeded.borrow() == Successor::Serving);
     let stop = async {
         let _ = timeout(STILL_COMING, accept(&frontend, &listener, succeeded)).await;
@@ -195,24 +195,25 @@
     tokio::select! {
         () = stop => {}
         // Slow clients may take longer than the platform waits, but what is cut off here would be lost for sure.
-        () = sleep(leave_after + frontend::STALLED) => eprintln!("ivycroft: left with clients still connected"),
+        () = sleep(leave_after + frontend::STALLED) => eprintln!("hallpin-node: left with clients still connected"),
         _ = driver => return Err(Wrong("driver: ended".into())),
     }
     Ok(())
 }
 
-fn main() -> ExitCode {
+/// Runs a node as the environment tells it, until it is told to stop; what is wrong goes to standard error.
+pub fn main() -> ExitCode {
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => {
-            eprintln!("ivycroft: runtime: {error}");
+            eprintln!("hallpin-node: runtime: {error}");
             return ExitCode::FAILURE;
         }
     };
     match LocalSet::new().block_on(&runtime, run()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(Wrong(what)) => {
-            eprintln!("ivycroft: {what}");
+            eprintln!("hallpin-node: {what}");
             ExitCode::FAILURE
         }
     }
--- a/node/src/protocol.rs
+++ b/crates/node/src/protocol.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
-use slipbridge::{CacheNote, Key};
+use hallpin_decisions::{CacheNote, Key};
 
 /// Longest value of an answer.
 pub const MAX_VALUE: usize = 4 << 20;
--- a/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use slipbridge::{CacheNote, ServerId, ServerState, Status};
+use hallpin_decisions::{CacheNote, ServerId, ServerState, Status};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{sleep_until, timeout_at, Instant};
--- a/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -580,7 +580,7 @@
 fn a_bad_configuration_is_named_in_one_line() {
     let good = Setup::default().config(nowhere());
     let run = |path: Option<&std::path::Path>| {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_ivycroft"));
+        let mut command = Command::new(env!("CARGO_BIN_EXE_hallpin-node"));
         command.env_remove("RELAY_CONFIG");
         path.map(|p| command.env("RELAY_CONFIG", p));
         let output = command.output().unwrap();
@@ -589,7 +589,7 @@
         assert_eq!(text.lines().count(), 1, "{text}");
         text
     };
-    let mut unset = Command::new(env!("CARGO_BIN_EXE_ivycroft"));
+    let mut unset = Command::new(env!("CARGO_BIN_EXE_hallpin-node"));
     unset.env("RELAY_CONFIG", write_config(&good.replace("\"operator\":\"127.0.0.1:0\",", "")));
     let output = unset.env("RELAY_OPERATOR", "here").output().unwrap();
     let text = String::from_utf8(output.stderr).unwrap();
--- a/node/tests/rig/mod.rs
+++ b/crates/node/tests/rig/mod.rs
@@ -361,7 +361,7 @@
         command.env_remove("TMPDIR");
         folder.map(|folder| command.env("TMPDIR", folder));
         let mut child = command
-            .args(["-c", &format!("{limit}exec {}", env!("CARGO_BIN_EXE_ivycroft"))])
+            .args(["-c", &format!("{limit}exec {}", env!("CARGO_BIN_EXE_hallpin-node"))])
             .env("RELAY_CONFIG", config)
             .stderr(Stdio::piped())
             .spawn()
--- a/wirehost/src/main.rs
+++ b/crates/simwire/src/main.rs
@@ -7,7 +7,7 @@
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
 
-use slipbridge::{Action, Balancer, Event, Names};
+use hallpin_decisions::{Action, Balancer, Event, Names};
 use wire::Line;
 
 struct Instance {
@@ -80,7 +80,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
-            eprintln!("slipbridge-wirehost: {what}");
+            eprintln!("hallpin-simwire: {what}");
             ExitCode::FAILURE
         }
     }
