Give the wire a crate of its own with both its sides, and untie the node's modules

Need: stand-in boxes and load clients speak the same commands as the node, and answer, discovery, driver and upstream tied a circle. Change: hallpin-protocol holds commands, replies, the cache server's side and the client's side; the node's clock, roster and messages are modules of their own, so that its modules depend one way.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -5,17 +5,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hallpin_decisions::{Membership, RosterEntry, ServerId, ServerState};
+use hallpin_decisions::Membership;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{Receiver, UnboundedSender};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, Instant};
 
-use crate::driver::{Clock, Message};
+use crate::clock::Clock;
+use crate::message::{Call, Message};
+use crate::roster::Roster;
 
 /// Longest list that is read.
 const MAX_BODY: usize = 4 << 20;
@@ -49,84 +50,6 @@
 /// Least time between two watches; a watch goes on if the next call comes within 200 ms.
 const PACE: Duration = Duration::from_millis(20);
 
-/// A list of servers, or the entries that changed.
-#[derive(Debug)]
-pub struct Roster {
-    pub revision: u64,
-    pub complete: bool,
-    pub members: Vec<Member>,
-}
-
-#[derive(Debug)]
-pub struct Member {
-    pub entry: RosterEntry,
-    pub address: SocketAddr,
-}
-
-#[derive(Deserialize)]
-struct List {
-    revision: u64,
-    complete: bool,
-    members: Vec<ListEntry>,
-}
-
-#[derive(Deserialize)]
-struct ListEntry {
-    id: String,
-    host_port: SocketAddr,
-    phase: String,
-    #[serde(default)]
-    locality: String,
-    #[serde(default)]
-    flavor: String,
-    #[serde(default)]
-    cell: u64,
-    #[serde(default = "one")]
-    size: f64,
-    #[serde(default)]
-    up_since_ms: f64,
-}
-
-fn one() -> f64 {
-    1.0
-}
-
-impl Roster {
-    /// Reads discovery's form.
-    pub fn from_json(text: &[u8], clock: &Clock) -> Result<Self, serde_json::Error> {
-        let list: List = serde_json::from_slice(text)?;
-        let member = |e: ListEntry| Member {
-            address: e.host_port,
-            entry: RosterEntry {
-                // The id is equal at every node, which the address need not be; it places the slots.
-                server: ServerId(e.id.into()),
-                state: match e.phase.as_str() {
-                    "ready" => ServerState::Ready,
-                    "gone" => ServerState::Gone,
-                    _ => ServerState::Draining,
-                },
-                zone: e.locality,
-                weight: e.size,
-                kind: e.flavor,
-                started: (e.up_since_ms > 0.0).then(|| clock.unix_ms(e.up_since_ms)),
-                cell: e.cell,
-            },
-        };
-        Ok(Roster {
-            revision: list.revision,
-            complete: list.complete,
-            members: list.members.into_iter().map(member).collect(),
-        })
-    }
-}
-
-/// What the balancer asks of discovery where lists are not pushed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Call {
-    Watch,
-    Fetch,
-}
-
 pub struct Discovery {
     /// Where discovery is; it may move while the node runs.
     address: watch::Receiver<SocketAddr>,
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -5,20 +5,22 @@
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use bytes::Bytes;
 use hallpin_decisions::*;
+use hallpin_protocol::{self as protocol, Command, Verb};
 use tokio::sync::mpsc::{Sender, UnboundedReceiver, UnboundedSender};
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 use tokio::time::{sleep_until, Instant};
 
 use crate::answer::Answer;
-use crate::discovery::{Call, Roster};
+use crate::clock::Clock;
 use crate::figures::{End, Figures, Members, Ticket};
 use crate::lifecycle::Lifecycle;
-use crate::protocol::{self, Command, Verb};
+use crate::message::{Call, Message};
+use crate::roster::Roster;
 use crate::upstream::{Ended, Served, Upstream};
 
 /// What a request's way from the client may have taken before its bytes were read.
@@ -27,51 +29,6 @@
 /// A timer fired this late tells of a stall, and what is read this soon after one may have come during it.
 const STALL: Duration = Duration::from_millis(20);
 
-/// The balancer's clock: seconds since the start, whatever becomes of the wall clock.
-#[derive(Clone, Copy, Debug)]
-pub struct Clock {
-    start: Instant,
-    start_unix_ms: f64,
-}
-
-impl Clock {
-    pub fn start() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), start_unix_ms: unix.as_secs_f64() * 1e3 }
-    }
-
-    pub fn at(&self, instant: Instant) -> Seconds {
-        instant.saturating_duration_since(self.start).as_secs_f64()
-    }
-
-    /// A wall-clock time on this clock. The wall clock is read at the start only, so one time always
-    /// converts alike: a step of it must not look like a restart of every server.
-    pub fn unix_ms(&self, ms: f64) -> Seconds {
-        (ms - self.start_unix_ms) / 1e3
-    }
-}
-
-/// What the rest of the node tells the driver.
-pub enum Message {
-    Request {
-        id: RequestId,
-        command: Command,
-        at: Instant,
-        reply: oneshot::Sender<Answer>,
-    },
-    /// The client has gone away.
-    Withdrawn(RequestId),
-    Ended {
-        request: RequestId,
-        attempt: AttemptId,
-        ended: Ended,
-    },
-    Roster(Roster),
-    RosterFailed,
-    /// An operator asks what the list holds.
-    Members(oneshot::Sender<Members>),
-}
-
 struct Attempt {
     since: Instant,
     written: Rc<Cell<bool>>,
@@ -461,8 +418,8 @@
 mod tests {
     use super::*;
     use crate::budget::Budget;
-    use crate::protocol::{next_input, Input};
     use crate::upstream::Bounds;
+    use hallpin_protocol::{next_input, Input};
     use tokio::net::TcpListener;
     use tokio::sync::mpsc::{channel, unbounded_channel};
 
@@ -567,12 +524,4 @@
             matches!(driver.events.make_contiguous(), [Event::Outcome(o)] if o.status == Status::Cancelled && o.finished)
         );
     }
-
-    #[test]
-    fn one_start_time_always_converts_alike() {
-        let clock = Clock::start();
-        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_secs_f64() * 1e3;
-        assert_eq!(clock.unix_ms(now - 5000.0), clock.unix_ms(now - 5000.0));
-        assert!((clock.unix_ms(now - 5000.0) + 5.0).abs() < 1.0);
-    }
 }
--- a/crates/node/src/frontend.rs
+++ b/crates/node/src/frontend.rs
@@ -17,11 +17,11 @@
 
 use crate::answer::Answer;
 use crate::budget::{Budget, Held};
-use crate::driver::Message;
 use crate::figures::{End, Ticket};
 use crate::lifecycle::{Lifecycle, Phase, State};
-use crate::protocol::{self, Input, MAX_WHOLE};
+use crate::message::Message;
 use crate::upstream::{Broken, Rest, Upstream};
+use hallpin_protocol::{self as protocol, Input, MAX_WHOLE};
 
 /// Commands of one connection that may be open at once; more of them wait unread.
 const MAX_PIPELINE: usize = 64;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,14 +4,16 @@
 
 mod answer;
 mod budget;
+mod clock;
 mod config;
 mod discovery;
 mod driver;
 mod figures;
 mod frontend;
 mod lifecycle;
+mod message;
 mod operator;
-mod protocol;
+mod roster;
 mod takeover;
 mod upstream;
 
@@ -27,13 +29,15 @@
 use tokio::time::{interval, sleep, timeout};
 
 use budget::Budget;
+use clock::Clock;
 use config::{seconds, wrong, Config, Wrong};
-use discovery::{Discovery, Roster};
-use driver::{Around, Clock, Driver};
+use discovery::Discovery;
+use driver::{Around, Driver};
 use figures::Figures;
 use frontend::Frontend;
 use lifecycle::{Lifecycle, State};
 use operator::Operator;
+use roster::Roster;
 use takeover::{Offer, Predecessor, Successor};
 use upstream::{Bounds, Upstream};
 
--- /dev/null
+++ b/crates/node/src/message.rs
@@ -0,0 +1,39 @@
+//! What the parts of the node tell each other.
+
+use hallpin_decisions::{AttemptId, RequestId};
+use hallpin_protocol::Command;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::answer::Answer;
+use crate::figures::Members;
+use crate::roster::Roster;
+use crate::upstream::Ended;
+
+/// What the rest of the node tells the driver.
+pub enum Message {
+    Request {
+        id: RequestId,
+        command: Command,
+        at: Instant,
+        reply: oneshot::Sender<Answer>,
+    },
+    /// The client has gone away.
+    Withdrawn(RequestId),
+    Ended {
+        request: RequestId,
+        attempt: AttemptId,
+        ended: Ended,
+    },
+    Roster(Roster),
+    RosterFailed,
+    /// An operator asks what the list holds.
+    Members(oneshot::Sender<Members>),
+}
+
+/// What the balancer asks of discovery where lists are not pushed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    Watch,
+    Fetch,
+}
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -14,9 +14,9 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
-use crate::driver::Message;
 use crate::figures::{Figures, Members};
 use crate::lifecycle::{AlreadyStopping, Lifecycle, State};
+use crate::message::Message;
 
 /// Callers that are heard at once, each with a descriptor. One more takes the place of the oldest.
 pub const MAX_CALLERS: usize = 8;
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -16,9 +16,9 @@
 use tokio::time::{sleep_until, timeout_at, Instant};
 
 use crate::budget::{Budget, Held};
-use crate::discovery::Roster;
 use crate::figures::Figures;
-use crate::protocol::{self, Body, Command, Reply};
+use crate::roster::Roster;
+use hallpin_protocol::{self as protocol, Body, Command, Reply};
 
 /// A connection is used again only so long after its last answer: more than belongs to that may still come, and
 /// would be read as the next one's.
@@ -383,9 +383,9 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::clock::Clock;
     use crate::config::{Limits, RESERVED};
-    use crate::driver::Clock;
-    use crate::protocol::{next_input, Input};
+    use hallpin_protocol::{next_input, Input};
     use tokio::net::TcpListener;
 
     const LONG: Duration = Duration::from_secs(20);
--- /dev/null
+++ b/crates/protocol/src/cache_server.rs
@@ -0,0 +1,159 @@
+//! The cache server's side: what it reads from a node, and how it words its answers.
+
+use std::fmt::Write;
+
+use bytes::{Buf, BytesMut};
+use hallpin_decisions::CacheNote;
+
+use crate::command::{next_input, Command, Input};
+
+/// What a node's bytes come to at a cache server.
+#[derive(Debug, PartialEq)]
+pub enum Call {
+    /// A read or a write.
+    Command(Box<Command>),
+    /// `mn`: a shallow probe.
+    Ready,
+    /// `stats load`: the load report.
+    Load,
+    /// Nothing that a cache server knows: the answer, and whether the framing is lost.
+    Bad {
+        /// The line that answers it.
+        answer: &'static str,
+        /// The connection is of no further use.
+        close: bool,
+    },
+}
+
+const LOAD: &[u8] = b"stats load\r\n";
+
+/// Takes the next call off `buf`; `None` until it is whole.
+pub fn next_call(buf: &mut BytesMut) -> Option<Call> {
+    if buf.starts_with(LOAD) {
+        buf.advance(LOAD.len());
+        return Some(Call::Load);
+    }
+    next_input(buf).map(|input| match input {
+        Input::Command(command) => Call::Command(command),
+        Input::Ready => Call::Ready,
+        Input::Bad { answer, close } => Call::Bad { answer, close },
+    })
+}
+
+/// What goes behind an answer's first words: how the read went and the load, where they are told.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Remarks {
+    /// How the read went.
+    pub note: Option<CacheNote>,
+    /// The load report: names and values.
+    pub load: Vec<(String, f64)>,
+}
+
+impl Remarks {
+    fn write(&self, line: &mut String) {
+        line.push_str(match self.note {
+            Some(CacheNote::Hit) => " h1",
+            Some(CacheNote::Miss) => " h0",
+            Some(CacheNote::MissFetching) => " h0 Z",
+            None => "",
+        });
+        for (at, (name, value)) in self.load.iter().enumerate() {
+            // Writing to a text cannot fail.
+            let _ = write!(line, "{}{name}={value}", if at == 0 { " L" } else { "," });
+        }
+        line.push_str("\r\n");
+    }
+}
+
+/// A value for the command with this id.
+pub fn value(opaque: &str, value: &[u8], remarks: &Remarks) -> Vec<u8> {
+    let mut line = format!("VA {} O{opaque}", value.len());
+    remarks.write(&mut line);
+    let mut out = line.into_bytes();
+    out.extend_from_slice(value);
+    out.extend_from_slice(b"\r\n");
+    out
+}
+
+/// The receipt for the write with this id.
+pub fn receipt(opaque: &str, receipt: &str, remarks: &Remarks) -> Vec<u8> {
+    let mut line = format!("HD O{opaque} c{receipt}");
+    remarks.write(&mut line);
+    line.into_bytes()
+}
+
+/// Turned away: it never ran.
+pub fn busy(remarks: &Remarks) -> Vec<u8> {
+    let mut line = String::from("SERVER_ERROR busy");
+    Remarks { note: None, load: remarks.load.clone() }.write(&mut line);
+    line.into_bytes()
+}
+
+/// An error: it may have run.
+pub fn failed(remarks: &Remarks) -> Vec<u8> {
+    let mut line = String::from("SERVER_ERROR failed");
+    Remarks { note: None, load: remarks.load.clone() }.write(&mut line);
+    line.into_bytes()
+}
+
+/// The answer to `stats load`.
+pub fn load(report: &[(String, f64)]) -> Vec<u8> {
+    let mut out = String::new();
+    for (name, value) in report {
+        // Writing to a text cannot fail.
+        let _ = write!(out, "STAT {name} {value}\r\n");
+    }
+    out.push_str("END\r\n");
+    out.into_bytes()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::{next_reply, Body, Reply};
+
+    #[test]
+    fn a_node_reads_what_a_cache_server_writes() {
+        let load = vec![("inflight".to_string(), 7.0), ("util".to_string(), 0.61)];
+        let remarks = Remarks { note: Some(CacheNote::MissFetching), load };
+        let mut buf = BytesMut::new();
+        buf.extend_from_slice(&value("9b1f", b"he\r\nlo", &remarks));
+        buf.extend_from_slice(&receipt("9b1f", "77", &Remarks::default()));
+        buf.extend_from_slice(&busy(&remarks));
+        buf.extend_from_slice(&failed(&remarks));
+        let mut next = || next_reply(&mut buf).unwrap().unwrap();
+        let Reply::Served { opaque, body, note } = next() else { panic!("a value") };
+        assert_eq!((&opaque[..], note), (&b"9b1f"[..], Some(CacheNote::MissFetching)));
+        assert_eq!(body, Body::Value("he\r\nlo".into()));
+        assert_eq!(
+            next(),
+            Reply::Served { opaque: "9b1f".into(), body: Body::Receipt("77".into()), note: None }
+        );
+        assert_eq!((next(), next()), (Reply::Busy, Reply::Failed));
+        assert!(buf.is_empty());
+    }
+
+    #[test]
+    fn calls_are_read_wherever_they_are_split() {
+        let text = b"stats load\r\nmn\r\nmg k v Oa Pc=r,d=1\r\nstats x\r\n";
+        for cut in 0..text.len() {
+            let mut buf = BytesMut::from(&text[..cut]);
+            let mut got = Vec::new();
+            while let Some(call) = next_call(&mut buf) {
+                got.push(call);
+            }
+            buf.extend_from_slice(&text[cut..]);
+            while let Some(call) = next_call(&mut buf) {
+                got.push(call);
+            }
+            assert!(
+                matches!(
+                    got[..],
+                    [Call::Load, Call::Ready, Call::Command(_), Call::Bad { close: false, .. }]
+                ),
+                "cut at {cut}: {got:?}"
+            );
+        }
+        assert_eq!(load(&[("qps".into(), 140.0)]), b"STAT qps 140\r\nEND\r\n");
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/client.rs
@@ -0,0 +1,180 @@
+//! The client's side: commands as text, and the answers to them.
+
+use std::fmt::Write;
+use std::time::Duration;
+
+use bytes::{Buf, Bytes, BytesMut};
+
+use crate::line::{figure, line_length};
+use crate::{Malformed, MAX_VALUE};
+
+/// What a client asks for. Names must be free of spaces and commas, as they stand in one word of the line.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// The key.
+    pub key: &'a str,
+    /// The value to write; `None` reads.
+    pub value: Option<&'a [u8]>,
+    /// The id of this try.
+    pub opaque: &'a str,
+    /// The class.
+    pub class: &'a str,
+    /// The tenant, where there is one.
+    pub tenant: Option<&'a str>,
+    /// How long the client waits, counted from the sending.
+    pub wait: Duration,
+    /// A guess at the work.
+    pub work: Option<Duration>,
+    /// The idempotency key of a keyed write.
+    pub effect_key: Option<&'a str>,
+    /// This repeats an earlier try, where clients mark that.
+    pub retry: bool,
+}
+
+impl Ask<'_> {
+    /// The command as it goes over the wire.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        let Ask { key, opaque, class, .. } = self;
+        let mut line = match self.value {
+            Some(value) => format!("ms {key} {} O{opaque} Pc={class}", value.len()),
+            None => format!("mg {key} v O{opaque} Pc={class}"),
+        };
+        let mut add = |name: &str, value: &dyn std::fmt::Display| {
+            // Writing to a text cannot fail.
+            let _ = write!(line, ",{name}={value}");
+        };
+        self.tenant.iter().for_each(|t| add("t", t));
+        add("d", &self.wait.as_millis());
+        self.work.iter().for_each(|w| add("h", &w.as_micros()));
+        self.effect_key.iter().for_each(|k| add("k", k));
+        if self.retry {
+            add("r", &1);
+        }
+        let mut out = line.into_bytes();
+        out.extend_from_slice(b"\r\n");
+        if let Some(value) = self.value {
+            out.extend_from_slice(value);
+            out.extend_from_slice(b"\r\n");
+        }
+        out
+    }
+}
+
+/// How a try ended, as its client reads it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// A value, for the id behind it.
+    Value(Bytes, Bytes),
+    /// The receipt of a write, for the id behind it.
+    Receipt(Bytes, Bytes),
+    /// Refused: coming again, after this long where it says so, is harmless.
+    Busy(Option<Duration>),
+    /// Any other line.
+    Failed(Bytes),
+}
+
+/// Takes the next answer off `buf`; `None` until it is whole.
+///
+/// # Errors
+/// [`Malformed`] where the bytes can be no answer, and nothing that follows can be trusted.
+pub fn next_answer(buf: &mut BytesMut) -> Result<Option<Answer>, Malformed> {
+    let Some(end) = line_length(buf).map_err(|()| Malformed)? else { return Ok(None) };
+    let line = buf[..end].strip_suffix(b"\r").ok_or(Malformed)?;
+    let words: Vec<&[u8]> = line.split(|&b| b == b' ').collect();
+    let flag = |letter: u8| {
+        let word = words.iter().skip(1).find(|w| w.first() == Some(&letter)).ok_or(Malformed)?;
+        Ok(Bytes::copy_from_slice(&word[1..]))
+    };
+    let number = |word: &[u8]| std::str::from_utf8(word).ok().and_then(figure::<usize>);
+    let answer = match words[..] {
+        [b"VA", length, ..] => {
+            let length = number(length).filter(|&l| l <= MAX_VALUE).ok_or(Malformed)?;
+            if buf.len() < end + 1 + length + 2 {
+                return Ok(None);
+            }
+            let opaque = flag(b'O')?;
+            if &buf[end + 1 + length..end + 3 + length] != b"\r\n" {
+                return Err(Malformed);
+            }
+            buf.advance(end + 1);
+            let value = buf.split_to(length).freeze();
+            buf.advance(2);
+            return Ok(Some(Answer::Value(value, opaque)));
+        }
+        [b"HD", ..] => Answer::Receipt(flag(b'c')?, flag(b'O')?),
+        [b"SERVER_ERROR", b"busy"] => Answer::Busy(None),
+        [b"SERVER_ERROR", b"busy", after] => {
+            Answer::Busy(number(after).map(|ms| Duration::from_millis(ms as u64)))
+        }
+        _ => Answer::Failed(Bytes::copy_from_slice(line)),
+    };
+    buf.advance(end + 1);
+    Ok(Some(answer))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::{busy, next_input, Input, Verb, FAILED};
+
+    const ASK: Ask = Ask {
+        key: "7f3a",
+        value: None,
+        opaque: "9b1f",
+        class: "read",
+        tenant: Some("acme"),
+        wait: Duration::from_millis(480),
+        work: Some(Duration::from_micros(1500)),
+        effect_key: None,
+        retry: true,
+    };
+
+    /// What a client writes is what a node reads.
+    #[test]
+    fn a_node_reads_what_a_client_writes() {
+        let write = Ask { value: Some(b"he\r\nlo"), effect_key: Some("5c0f"), retry: false, ..ASK };
+        for (ask, verb) in [(ASK, Verb::Get), (write, Verb::Set)] {
+            let mut buf = BytesMut::from(&ask.to_bytes()[..]);
+            let Some(Input::Command(command)) = next_input(&mut buf) else { panic!("a command") };
+            assert!(buf.is_empty());
+            assert_eq!((command.verb, command.wait, command.work), (verb, ask.wait, ask.work));
+            assert_eq!((&command.class[..], command.tenant.as_deref()), ("read", Some("acme")));
+            assert_eq!(command.opaque(), "9b1f");
+        }
+    }
+
+    #[test]
+    fn answers_are_read_wherever_they_are_split() {
+        let mut text = b"VA 4 O9b1f\r\na\r\nb\r\nHD O9b1f c77\r\n".to_vec();
+        text.extend(busy(Some(Duration::from_millis(250))));
+        text.extend(busy(None));
+        text.extend(FAILED);
+        let id = || Bytes::from_static(b"9b1f");
+        let want = [
+            Answer::Value(Bytes::from_static(b"a\r\nb"), id()),
+            Answer::Receipt(Bytes::from_static(b"77"), id()),
+            Answer::Busy(Some(Duration::from_millis(250))),
+            Answer::Busy(None),
+            Answer::Failed(Bytes::from_static(b"SERVER_ERROR failed")),
+        ];
+        for cut in 0..text.len() {
+            let mut buf = BytesMut::from(&text[..cut]);
+            let mut got = Vec::new();
+            while let Some(answer) = next_answer(&mut buf).unwrap() {
+                got.push(answer);
+            }
+            buf.extend_from_slice(&text[cut..]);
+            while let Some(answer) = next_answer(&mut buf).unwrap() {
+                got.push(answer);
+            }
+            assert_eq!(got, want, "cut at {cut}");
+        }
+    }
+
+    #[test]
+    fn what_can_be_no_answer_is_malformed() {
+        for text in ["VA x Oa\r\n", "VA 1\r\na\r\n", "VA 1 Oa\r\nabc", "HD Oa\r\n", "HD c1\r\n", "MN\n"] {
+            assert_eq!(next_answer(&mut BytesMut::from(text)), Err(Malformed), "{text}");
+        }
+    }
+}
