Log through tracing, in two forms, filtered, and held back where a crowd could flood it

Need: lines could not be filtered or read by machines, a crowd could flood the log, and a log that nobody takes ended the task that wrote to it.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,6 +1,7 @@
 //! The configuration: read from the file that `RELAY_CONFIG` names, and checked before anything starts.
 
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use hallpin_decisions::Settings;
@@ -38,8 +39,9 @@
     }
 }
 
-/// One line that names what is wrong.
-#[derive(Debug)]
+/// One line that names what is wrong with what the node was given.
+#[derive(Debug, thiserror::Error)]
+#[error("{0}")]
 pub struct Wrong(pub String);
 
 pub fn wrong<E: std::fmt::Display>(what: &str) -> impl FnOnce(E) -> Wrong + '_ {
@@ -47,11 +49,16 @@
 }
 
 impl Config {
+    /// Where the file is: as the command line has it, or else as `RELAY_CONFIG` has it.
+    pub fn path(told: Option<PathBuf>) -> Result<PathBuf, Wrong> {
+        told.map_or_else(|| std::env::var("RELAY_CONFIG").map(Into::into).map_err(wrong("RELAY_CONFIG")), Ok)
+    }
+
     /// Reads the file anew.
-    pub fn read() -> Result<Self, Wrong> {
-        let path = std::env::var("RELAY_CONFIG").map_err(wrong("RELAY_CONFIG"))?;
-        let text = std::fs::read(&path).map_err(wrong(&format!("RELAY_CONFIG {path}")))?;
-        Self::parse(&text).map_err(wrong(&format!("RELAY_CONFIG {path}")))
+    pub fn read(path: &Path) -> Result<Self, Wrong> {
+        let named = format!("configuration {}", path.display());
+        let text = std::fs::read(path).map_err(wrong(&named))?;
+        Self::parse(&text).map_err(wrong(&named))
     }
 
     fn parse(text: &[u8]) -> Result<Self, String> {
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -13,6 +13,7 @@
 use tokio::sync::mpsc::{Receiver, UnboundedSender};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, Instant};
+use tracing::{info, warn};
 
 use crate::clock::Clock;
 use crate::message::{Call, Message};
@@ -92,7 +93,7 @@
                 biased;
                 // The old watch is dropped whatever it waits for, and the whole list read at the new address.
                 Ok(()) = moved.changed() => {
-                    eprintln!("discovery: moved from {address}");
+                    info!(from = %address, "moved");
                     first = Some(Call::Watch);
                 }
                 () = self.keep_following(address, first, &mut calls) => return,
@@ -119,7 +120,7 @@
             if *self.trouble.borrow() == failure {
                 backoff = (backoff * 2).min(manner.max_backoff);
             } else {
-                eprintln!("discovery: {failure}; the list held stands");
+                warn!("{failure}; the list held stands");
                 backoff = manner.backoff;
                 *self.trouble.borrow_mut() = failure;
             }
@@ -183,7 +184,7 @@
             return Err("part of a list in place of the whole".into());
         }
         if !self.trouble.borrow_mut().split_off(0).is_empty() {
-            eprintln!("discovery: answers again");
+            info!("answers again");
         }
         let revision = roster.revision;
         if roster.complete || !roster.members.is_empty() {
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -14,11 +14,13 @@
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 use tokio::time::{sleep_until, Instant};
+use tracing::{debug, info, warn};
 
 use crate::answer::Answer;
 use crate::clock::Clock;
 use crate::figures::{End, Figures, Members, Ticket};
 use crate::lifecycle::Lifecycle;
+use crate::log::Throttle;
 use crate::message::{Call, Message};
 use crate::roster::Roster;
 use crate::upstream::{Ended, Served, Upstream};
@@ -71,6 +73,9 @@
     now: Instant,
     /// When the node last did not run for a while.
     stall: Option<(Instant, Instant)>,
+    /// What may be said often is said seldom: requests that ran out of time, and the balancer's own lines.
+    overdue: Throttle,
+    said: Throttle,
     messages: UnboundedSender<Message>,
     calls: Sender<Call>,
     lifecycle: Rc<Lifecycle>,
@@ -106,6 +111,8 @@
             events: VecDeque::new(),
             now: Instant::now(),
             stall: None,
+            overdue: Throttle::default(),
+            said: Throttle::default(),
             messages,
             calls,
             lifecycle,
@@ -250,7 +257,9 @@
                 Timer::Backstop(id) => {
                     let id = RequestId(id);
                     if self.answer(id, protocol::FAILED.into(), End::Failed) {
-                        eprintln!("driver: request {} had no answer near its deadline; failed", id.0);
+                        if let Some(suppressed) = self.overdue.pass(self.now) {
+                            warn!(request = id.0, suppressed, "no answer near its deadline; failed");
+                        }
                         self.handle(Event::Withdrawn(id));
                     }
                     self.settle(id);
@@ -293,7 +302,11 @@
             }
             Action::Subscribe => self.call(Call::Watch),
             Action::FetchRoster => self.call(Call::Fetch),
-            Action::Log(text) => eprintln!("balancer: {text}"),
+            Action::Log(text) => {
+                if let Some(suppressed) = self.said.pass(self.now) {
+                    info!(target: "hallpin_node::balancer", suppressed, "{text}");
+                }
+            }
             // This protocol has neither where the settings do not allow them, and the balancer knows.
             Action::Probe(_) | Action::Tell(_) => {}
         }
@@ -312,6 +325,7 @@
         let written = Rc::new(Cell::new(false));
         // Nothing goes out for a request that has its answer, nor more often than is allowed.
         let void = live.reply.is_none() || live.attempts.len() >= self.max_attempts || until <= now;
+        debug!(request = id.0, attempt = attempt.0, server = %server.0, void, "attempt");
         let task = (!void).then(|| {
             let (upstream, messages) = (self.upstream.clone(), self.messages.clone());
             let (command, written) = (live.command.clone(), written.clone());
@@ -371,6 +385,7 @@
     ) {
         let finished = self.requests.get(&request).is_none_or(|live| live.reply.is_none());
         let elapsed = since.elapsed().as_secs_f64();
+        debug!(request = request.0, attempt = attempt.0, ?status, elapsed, finished, "outcome");
         self.events.push_back(Event::Outcome(Outcome { request, attempt, status, elapsed, finished, note }));
     }
 
--- a/crates/node/src/frontend.rs
+++ b/crates/node/src/frontend.rs
@@ -14,11 +14,13 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{oneshot, watch, Notify};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
+use tracing::warn;
 
 use crate::answer::Answer;
 use crate::budget::{Budget, Held};
 use crate::figures::{End, Ticket};
 use crate::lifecycle::{Lifecycle, Phase, State};
+use crate::log::Throttle;
 use crate::message::Message;
 use crate::upstream::{Broken, Rest, Upstream};
 use hallpin_protocol::{self as protocol, Input, MAX_WHOLE};
@@ -68,6 +70,9 @@
     /// Connections that may be closed to make room, those first that have asked for nothing yet or were only
     /// turned away, the longest so first.
     closable: RefCell<BTreeMap<(Rank, u64), Closable>>,
+    /// Said seldom: values that broke off, and clients that take nothing.
+    broken: Throttle,
+    stuck: Throttle,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -109,6 +114,8 @@
             open: Cell::new(0),
             closed: Notify::new(),
             closable: RefCell::default(),
+            broken: Throttle::default(),
+            stuck: Throttle::default(),
         })
     }
 
@@ -137,7 +144,7 @@
                 Err(error) => {
                     // Out of descriptors, or a client that left before it was accepted.
                     if !std::mem::replace(&mut failing, true) {
-                        eprintln!("frontend: accept: {error}");
+                        warn!(%error, "accepting failed");
                     }
                     self.make_room();
                     self.upstream.close_oldest();
@@ -356,7 +363,9 @@
                 }
             }
             Err(Broken) => {
-                eprintln!("frontend: a value broke off on its way to its client");
+                if let Some(suppressed) = self.frontend.broken.pass(Instant::now()) {
+                    warn!(suppressed, "a value broke off on its way to its client");
+                }
                 self.rest = None;
                 self.withdraw();
                 self.lost = true;
@@ -468,7 +477,9 @@
                 _ = self.phases.changed() => {}
                 () = sleep_until(parts_at.unwrap_or(progress)), if parts_at.is_some() => {}
                 () = sleep_until(progress + STALLED), if unread > 0 => {
-                    eprintln!("frontend: a client does not take its answers; closed");
+                    if let Some(suppressed) = self.frontend.stuck.pass(Instant::now()) {
+                        warn!(suppressed, "a client does not take its answers; closed");
+                    }
                     return;
                 }
                 // To one that has said nothing an error would be the answer to its next request.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 mod figures;
 mod frontend;
 mod lifecycle;
+pub mod log;
 mod message;
 mod operator;
 mod roster;
@@ -18,6 +19,7 @@
 mod upstream;
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,6 +29,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
 use tokio::time::{interval, sleep, timeout};
+use tracing::{error, info, warn};
 
 use budget::Budget;
 use clock::Clock;
@@ -53,13 +56,13 @@
 const SWEEP: Duration = Duration::from_secs(1);
 
 /// Reads the configuration anew at each SIGHUP, for where discovery is now; all else needs a new start.
-async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
+async fn reload(path: PathBuf, mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
     while hangup.recv().await.is_some() {
-        match Config::read().and_then(|config| config.settings().map(|_| config.discovery)) {
+        match Config::read(&path).and_then(|config| config.settings().map(|_| config.discovery)) {
             Ok(address) => {
                 discovery.send_if_modified(|at| std::mem::replace(at, address) != address);
             }
-            Err(Wrong(what)) => eprintln!("hallpin-node: {what}; the old configuration stands"),
+            Err(Wrong(what)) => warn!("{what}; the old configuration stands"),
         }
     }
 }
@@ -70,7 +73,7 @@
     if let Some(path) = path {
         match takeover::claim(&path, address).await {
             Ok((listener, predecessor)) => return Ok((listener, Some(predecessor))),
-            Err(error) => eprintln!("takeover: {}: {error}; listening anew", path.display()),
+            Err(error) => warn!(path = %path.display(), %error, "no takeover; listening anew"),
         }
     }
     let listener = takeover::bind(address).map_err(wrong(&format!("listen {address}")))?;
@@ -88,7 +91,7 @@
     }
     tokio::task::spawn_local(async move {
         predecessor.gone().await;
-        eprintln!("takeover: the predecessor is gone");
+        info!("the predecessor is gone");
         budget.leave();
     });
 }
@@ -107,8 +110,9 @@
     }
 }
 
-async fn run() -> Result<(), Wrong> {
-    let config = Config::read()?;
+async fn run(options: Options) -> Result<(), Failure> {
+    let path = Config::path(options.config)?;
+    let config = Config::read(&path)?;
     let (seed, settings, operator_at) = (config.seed()?, config.settings()?, config.operator()?);
     let clock = Clock::start();
     let mut terminate = signal(SignalKind::terminate()).map_err(wrong("SIGTERM"))?;
@@ -150,16 +154,16 @@
     let (listener, predecessor) = listen(config.listen).await?;
     let listener = Rc::new(listener);
     let address = listener.local_addr().map_err(wrong("listen"))?;
-    eprintln!("hallpin-node: listening on {address}");
+    info!("listening on {address}");
     if let Some(address) = operator_at {
         let listener = TcpListener::bind(address).await.map_err(wrong(&format!("operator {address}")))?;
-        eprintln!("hallpin-node: operators call at {}", listener.local_addr().map_err(wrong("operator"))?);
+        info!("operators call at {}", listener.local_addr().map_err(wrong("operator"))?);
         let operator = Operator::new(lifecycle.clone(), figures, messages.clone());
         tokio::task::spawn_local(operator.accept(listener));
     }
 
     let (moved, discovery_at) = watch::channel(config.discovery);
-    tokio::task::spawn_local(reload(hangup, moved));
+    tokio::task::spawn_local(reload(path, hangup, moved));
     let discovery = Discovery::new(discovery_at, settings.membership, clock, messages);
     tokio::task::spawn_local(discovery.run(called));
     let mut driver = tokio::task::spawn_local(driver.run(inbox));
@@ -186,10 +190,10 @@
     tokio::select! {
         () = serve => {}
         // Without it nobody is answered: better to end and be started again.
-        _ = &mut driver => return Err(Wrong("driver: ended".into())),
+        _ = &mut driver => return Err(Failure::DriverEnded),
         _ = terminate.recv() => {}
     }
-    eprintln!("hallpin-node: stopping");
+    info!("stopping");
     lifecycle.stop(*succeeded.borrow() == Successor::Serving);
     let stop = async {
         let _ = timeout(STILL_COMING, accept(&frontend, &listener, succeeded)).await;
@@ -199,26 +203,60 @@
     tokio::select! {
         () = stop => {}
         // Slow clients may take longer than the platform waits, but what is cut off here would be lost for sure.
-        () = sleep(leave_after + frontend::STALLED) => eprintln!("hallpin-node: left with clients still connected"),
-        _ = driver => return Err(Wrong("driver: ended".into())),
+        () = sleep(leave_after + frontend::STALLED) => warn!("left with clients still connected"),
+        _ = driver => return Err(Failure::DriverEnded),
     }
     Ok(())
 }
 
-/// Runs a node as the environment tells it, until it is told to stop; what is wrong goes to standard error.
-pub fn main() -> ExitCode {
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-        Ok(runtime) => runtime,
-        Err(error) => {
-            eprintln!("hallpin-node: runtime: {error}");
-            return ExitCode::FAILURE;
-        }
-    };
-    match LocalSet::new().block_on(&runtime, run()) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(Wrong(what)) => {
-            eprintln!("hallpin-node: {what}");
-            ExitCode::FAILURE
+/// What the command line of a node tells it.
+#[derive(Clone, Debug, Default, clap::Args)]
+pub struct Options {
+    /// Configuration file; without it the one that RELAY_CONFIG names
+    #[arg(long, value_name = "FILE")]
+    pub config: Option<PathBuf>,
+    /// How the lines of the log look, on standard error; HALLPIN_LOG filters them
+    #[arg(long, value_name = "FORMAT", default_value = "human")]
+    pub log: log::Format,
+}
+
+/// Why a node ended otherwise than by being told to.
+#[derive(Debug, thiserror::Error)]
+enum Failure {
+    #[error(transparent)]
+    Wrong(#[from] Wrong),
+    #[error("runtime: {0}")]
+    Runtime(#[source] std::io::Error),
+    #[error("driver: ended")]
+    DriverEnded,
+}
+
+impl Failure {
+    /// 2 where what it was given is at fault, 1 for what happened on the way.
+    fn code(&self) -> u8 {
+        match self {
+            Failure::Wrong(_) => 2,
+            Failure::Runtime(_) | Failure::DriverEnded => 1,
         }
     }
 }
+
+fn block_on(options: Options) -> Result<(), Failure> {
+    log::start(options.log)?;
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(Failure::Runtime)?;
+    LocalSet::new().block_on(&runtime, run(options))
+}
+
+/// Runs a node until it is told to stop; what is wrong goes to the log. The exit code is 0, or 1 where the node
+/// failed, or 2 where what it was given is at fault.
+pub fn main(options: Options) -> ExitCode {
+    let Err(failure) = block_on(options) else { return ExitCode::SUCCESS };
+    // Without a filter that can be read there is no log yet.
+    if tracing::enabled!(tracing::Level::ERROR) {
+        error!("{failure}");
+    } else {
+        eprintln!("hallpin-node: {failure}");
+    }
+    ExitCode::from(failure.code())
+}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -2,6 +2,16 @@
 
 use std::process::ExitCode;
 
+use clap::Parser;
+
+/// One real node, between clients and cache servers, as the platform starts it.
+#[derive(Parser)]
+#[command(name = "hallpin-node", version)]
+struct Cli {
+    #[command(flatten)]
+    options: hallpin_node::Options,
+}
+
 fn main() -> ExitCode {
-    hallpin_node::main()
+    hallpin_node::main(Cli::parse().options)
 }
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -13,6 +13,7 @@
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
+use tracing::info;
 
 use crate::figures::{Figures, Members};
 use crate::lifecycle::{AlreadyStopping, Lifecycle, State};
@@ -168,7 +169,7 @@
             },
         };
         if matches!(call, Call::Drain | Call::Resume) {
-            eprintln!("operator: {call:?}: {}", render(outcome).trim_end());
+            info!(?call, answer = render(outcome).trim_end(), "called");
         }
         render(outcome)
     }
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -22,6 +22,7 @@
 use tokio::net::{TcpListener, TcpSocket, UnixListener, UnixStream};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
+use tracing::{info, warn};
 
 use crate::budget::Budget;
 
@@ -173,13 +174,13 @@
             let door = match publish(&self.path) {
                 Ok(door) => door,
                 Err(error) => {
-                    return eprintln!("takeover: {}: {error}; none is offered", self.path.display())
+                    return warn!(path = %self.path.display(), %error, "none is offered");
                 }
             };
             match door.accept().await {
                 Ok((stream, _)) => {
                     if let Err(error) = self.hand_over(stream).await {
-                        eprintln!("takeover: not handed over: {error}");
+                        warn!(%error, "not handed over");
                     }
                 }
                 Err(_) => sleep(PAUSE).await,
@@ -194,17 +195,17 @@
         let Some(socket) = self.socket.upgrade() else { return Ok(()) };
         send(&stream, socket.as_fd())?;
         drop(socket);
-        eprintln!("takeover: the socket is handed over");
+        info!("the socket is handed over");
         self.budget.join();
         self.successor.send_replace(Successor::Starting);
         let mut word = [0];
         while matches!(stream.read(&mut word).await, Ok(1)) {
             if word[0] == SERVING {
-                eprintln!("takeover: the successor serves");
+                info!("the successor serves");
                 self.successor.send_replace(Successor::Serving);
             }
         }
-        eprintln!("takeover: the successor is gone");
+        info!("the successor is gone");
         self.budget.leave();
         self.successor.send_replace(Successor::None);
         Ok(())
