Hash homes by XXH3 and draw jitter by Pcg64Mcg in place of hand-written functions

Need: hash and random source were made by hand, and maintained crates hold both. Change: twox-hash over bytes and number, rand_pcg for jitter, fnv on the wire; numbers as seeds gave two short ids the same points, which the node's tests found.

--- a/crates/decisions/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -6,6 +6,10 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use twox_hash::XxHash3_64;
+
 use crate::interface::*;
 
 // ---- Constants ----------------------------------------------------------------------------------------
@@ -76,12 +80,14 @@
 
 // ---- Ring ---------------------------------------------------------------------------------------------
 
-/// The splitmix64 finaliser, written out so that every port computes the same homes.
-fn mix(mut x: u64) -> u64 {
-    x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
+/// XXH3: the same homes at every node. Danger: a number as the seed meets a short id in one xor, and servers
+/// whose ids differ in a digit had the same points; so numbers are hashed as bytes.
+fn hash(of: &[u8]) -> u64 {
+    XxHash3_64::oneshot(of)
+}
+
+fn hash_key(key: Key, number: u64) -> u64 {
+    hash(&(u128::from(number) << 64 | u128::from(key.0)).to_le_bytes())
 }
 
 /// A virtual node of a server. Its slot is the top of its hash; while the server warms up, only points of low
@@ -94,7 +100,7 @@
 
 /// The owner of slot h(key, attempt): the server of the nearest active point clockwise.
 fn owner(ring: &[Point], key: Key, attempt: u64, active: impl Fn(&Point) -> bool) -> Option<&ServerId> {
-    let slot = mix(mix(key.0) ^ attempt.wrapping_mul(0xd6e8_feb8_6659_fd93)) & ((1 << SLOT_BITS) - 1);
+    let slot = hash_key(key, attempt) >> (64 - SLOT_BITS);
     let first = ring.partition_point(|p| p.hash >> (64 - SLOT_BITS) < slot);
     ring[first..].iter().chain(&ring[..first]).find(|p| active(p)).map(|p| &p.server)
 }
@@ -203,6 +209,15 @@
     matches!(&settings.cache, CacheMode::Aside { origin_kind } if *origin_kind == server.entry.kind)
 }
 
+/// Spreads waits and trials; never the homes of keys.
+struct Jitter(Pcg64Mcg);
+
+impl Default for Jitter {
+    fn default() -> Self {
+        Jitter(Pcg64Mcg::seed_from_u64(0))
+    }
+}
+
 /// The decisions of one node.
 pub struct Balancer(Node);
 
@@ -210,7 +225,7 @@
 struct Node {
     settings: Settings,
     tightest_aim: Seconds,
-    rng: u64,
+    rng: Jitter,
     now: Seconds,
     out: Vec<Action>,
     started: bool,
@@ -294,7 +309,7 @@
         let tightest_aim = settings.classes.iter().map(|c| c.aim).fold(f64::MAX, f64::min);
         Ok(Balancer(Node {
             tightest_aim,
-            rng: mix(seed),
+            rng: Jitter(Pcg64Mcg::seed_from_u64(seed)),
             hit_time: tightest_aim * CROWDED / 2.0,
             work_time: 2.0,
             fetch_limit: Limit { value: FIRST_FETCHES, changed: 0.0 },
@@ -345,8 +360,7 @@
     }
 
     fn random(&mut self) -> f64 {
-        self.rng = self.rng.wrapping_add(1);
-        (mix(self.rng) >> 11) as f64 / (1u64 << 53) as f64
+        self.rng.0.random()
     }
 
     fn class(&self, r: &Request) -> &Class {
@@ -387,9 +401,8 @@
             let points = if out { 0 } else { (POINTS * s.size).round().max(1.0) as u16 };
             if points != s.points {
                 stale.insert(id.clone());
-                let base = id.0.bytes().fold(0, |hash, byte| mix(hash ^ u64::from(byte)));
                 fresh.extend((0..points).map(|rank| {
-                    let hash = mix(base ^ mix(rank.into())).rotate_right(SLOT_BITS);
+                    let hash = hash(&[id.0.as_bytes(), &rank.to_le_bytes()].concat());
                     Point { hash, server: id.clone(), rank }
                 }));
                 s.points = points;
@@ -453,8 +466,7 @@
         let gives_way = r.over_quota && f64::from(self.in_flight) > self.fleet.limit;
         let part = 1.0 + OVER * self.hit_time / self.tightest_aim;
         // Danger: a zone with more traffic than its own servers carry; then part of the keys leave it.
-        let at_home =
-            self.fleet.near > 0 && (mix(r.key.0 ^ 1) >> 11) as f64 >= self.spill * (1u64 << 53) as f64;
+        let at_home = self.fleet.near > 0 && hash_key(r.key, u64::MAX) as f64 >= self.spill * u64::MAX as f64;
         for place in r.first..r.first + MAX_JUMPS {
             let local = at_home && place < r.first + ZONE_PLACES;
             let active = |p: &Point| {
@@ -522,7 +534,7 @@
         if self.requests.contains_key(&new.id) {
             return;
         }
-        let key = new.key.unwrap_or(Key(mix(new.id.0)));
+        let key = new.key.unwrap_or(Key(hash_key(Key(new.id.0), 0)));
         let unknown = self.settings.classes.len() - 1;
         let request = Request {
             class: new.class.map_or(unknown, |c| c.0.min(unknown)),
--- a/crates/protocol/src/command.rs
+++ b/crates/protocol/src/command.rs
@@ -1,5 +1,6 @@
 //! Commands: what clients send, how a node reads it, and how it goes on to a cache server.
 
+use std::hash::Hasher;
 use std::ops::Range;
 use std::time::Duration;
 
@@ -180,9 +181,9 @@
 
 /// FNV-1a: one function for all nodes and starts, as nodes that differ would give one key several homes.
 pub fn key_of(text: &str) -> Key {
-    Key(text
-        .bytes()
-        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)))
+    let mut hash = fnv::FnvHasher::default();
+    hash.write(text.as_bytes());
+    Key(hash.finish())
 }
 
 impl Command {
