Add the hallpin command: emulate, check, schema and node, with textbook policies to compare

Change: hallpin emulate plays a scenario for one seed or many, on all cores, as table, JSON, trace and chart; check names file, line, column and field; schema prints the documented form.

--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,10 @@
+//! Runs days of the model, and hands their verdicts back.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod trace_file;
+mod virtual_time;
+
+pub use trace_file::TraceFile;
+pub use virtual_time::{play, play_all, PlayError, Played};
--- /dev/null
+++ b/crates/hallpin/src/emulate.rs
@@ -0,0 +1,138 @@
+//! `hallpin emulate`: plays a scenario and judges what came of it.
+
+use std::io::IsTerminal;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::builder::PossibleValue;
+use clap::ValueEnum;
+use hallpin_baselines::Kind;
+use hallpin_fleet::{play, play_all, Played};
+use hallpin_lab::{chart, table};
+use hallpin_model::referee::Verdict;
+use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
+
+use crate::failure::{self, Failure};
+
+/// A policy, or all of them.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Policy {
+    One(Kind),
+    All,
+}
+
+impl ValueEnum for Policy {
+    fn value_variants<'a>() -> &'a [Self] {
+        const ALL: [Policy; 8] = [
+            Policy::One(Kind::Module),
+            Policy::One(Kind::Random),
+            Policy::One(Kind::LeastOfTwo),
+            Policy::One(Kind::Rendezvous),
+            Policy::One(Kind::BoundedLoad),
+            Policy::One(Kind::Maglev),
+            Policy::One(Kind::Omniscient),
+            Policy::All,
+        ];
+        &ALL
+    }
+
+    fn to_possible_value(&self) -> Option<PossibleValue> {
+        Some(PossibleValue::new(match self {
+            Policy::One(kind) => kind.name(),
+            Policy::All => "all",
+        }))
+    }
+}
+
+/// What the command line says.
+#[derive(clap::Args)]
+pub struct Options {
+    /// The scenario
+    #[arg(value_name = "SCENARIO")]
+    file: PathBuf,
+    /// Plays the day of this seed
+    #[arg(long, default_value_t = 1, value_name = "N")]
+    seed: u64,
+    /// Plays so many seeds from that one on, and tells medians and quartiles
+    #[arg(long, value_name = "N", conflicts_with_all = ["trace", "chart"])]
+    seeds: Option<u64>,
+    /// Who decides; may be given more than once
+    #[arg(long, value_enum, default_value = "module", value_name = "POLICY")]
+    policy: Vec<Policy>,
+    /// Writes the verdicts as JSON
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+    /// Writes what happened, one JSON object a line
+    #[arg(long, value_name = "FILE")]
+    trace: Option<PathBuf>,
+    /// Draws the day as SVG
+    #[arg(long, value_name = "FILE")]
+    chart: Option<PathBuf>,
+}
+
+/// The exit code is 1 if the decision module broke a rule on any day.
+pub fn run(options: &Options) -> Result<ExitCode, Failure> {
+    let scenario = failure::scenario(&options.file)?;
+    let kinds = kinds(&options.policy);
+    let played = match (options.seeds, &kinds[..]) {
+        (None, [kind]) => {
+            let played = play(&scenario, options.seed, *kind, options.trace.as_deref())?;
+            println!("{}, seed {}, {}\n", scenario.name, played.seed, kind.name());
+            println!("{}", table::day(&played.verdict));
+            if let Some(path) = &options.chart {
+                let title = format!("{}, seed {}, {}", scenario.name, played.seed, kind.name());
+                chart::day(&played.verdict, &title, path)?;
+            }
+            let speed = played.events as f64 / played.took.as_secs_f64().max(1e-9) / 1e6;
+            eprintln!("{} events in {:.2?}, {speed:.2} million a second", played.events, played.took);
+            vec![played]
+        }
+        (seeds, _) => {
+            if options.trace.is_some() || options.chart.is_some() {
+                return Err(Failure::Usage("--trace and --chart are of one day: give one policy".into()));
+            }
+            let seeds: Vec<u64> = (options.seed..).take(seeds.unwrap_or(1).max(1) as usize).collect();
+            let bar = progress((seeds.len() * kinds.len()) as u64);
+            let played = play_all(&scenario, &seeds, &kinds, &|| bar.inc(1));
+            bar.finish_and_clear();
+            let played = played?;
+            println!("{}, seeds {} to {}\n", scenario.name, seeds[0], seeds[seeds.len() - 1]);
+            println!("{}", table::comparison(&played));
+            played
+        }
+    };
+    if let Some(path) = &options.json {
+        let text = serde_json::to_vec_pretty(&played).map_err(|error| Failure::Json(path.clone(), error))?;
+        failure::write(path, &text)?;
+    }
+    let broke = |p: &Played| p.policy == Kind::Module && !Verdict::is_clean(&p.verdict);
+    Ok(ExitCode::from(u8::from(played.iter().any(broke))))
+}
+
+fn kinds(policies: &[Policy]) -> Vec<Kind> {
+    let mut kinds = Vec::new();
+    for policy in policies {
+        match policy {
+            Policy::One(kind) => kinds.push(*kind),
+            Policy::All => kinds.extend(Kind::ALL),
+        }
+    }
+    let mut seen = std::collections::BTreeSet::new();
+    kinds.retain(|kind| seen.insert(*kind));
+    kinds
+}
+
+/// A bar on a terminal, and nothing elsewhere.
+fn progress(days: u64) -> ProgressBar {
+    let target = if std::io::stderr().is_terminal() {
+        ProgressDrawTarget::stderr()
+    } else {
+        ProgressDrawTarget::hidden()
+    };
+    let bar = ProgressBar::with_draw_target(Some(days), target);
+    // The template is a constant that the crate reads.
+    if let Ok(style) = ProgressStyle::with_template("{bar:40} {pos}/{len} days, {eta} to go") {
+        bar.set_style(style);
+    }
+    bar
+}
--- /dev/null
+++ b/crates/hallpin/src/failure.rs
@@ -0,0 +1,41 @@
+//! What could not be done, in one line, and files read with their names in the errors.
+
+use std::path::{Path, PathBuf};
+
+use hallpin_fleet::PlayError;
+use hallpin_lab::chart::ChartError;
+use hallpin_model::scenario::{Scenario, Unreadable};
+
+/// Something that could not be done.
+#[derive(Debug, thiserror::Error)]
+pub enum Failure {
+    /// A file cannot be read or written.
+    #[error("{path}: {error}", path = .0.display(), error = .1)]
+    File(PathBuf, #[source] std::io::Error),
+    /// A file cannot be made sense of.
+    #[error("{path}:{error}", path = .0.display(), error = .1)]
+    Unreadable(PathBuf, #[source] Unreadable),
+    /// A day was not played.
+    #[error(transparent)]
+    Play(#[from] PlayError),
+    /// A chart was not drawn.
+    #[error(transparent)]
+    Chart(#[from] ChartError),
+    /// A result cannot be written as JSON.
+    #[error("{path}: {error}", path = .0.display(), error = .1)]
+    Json(PathBuf, #[source] serde_json::Error),
+    /// The command line asks for what does not go together.
+    #[error("{0}")]
+    Usage(String),
+}
+
+/// Reads and checks a scenario.
+pub fn scenario(path: &Path) -> Result<Scenario, Failure> {
+    let text = std::fs::read_to_string(path).map_err(|error| Failure::File(path.into(), error))?;
+    Scenario::parse(&text).map_err(|error| Failure::Unreadable(path.into(), error))
+}
+
+/// Writes a whole file, or says why not.
+pub fn write(path: &Path, text: &[u8]) -> Result<(), Failure> {
+    std::fs::write(path, text).map_err(|error| Failure::File(path.into(), error))
+}
--- /dev/null
+++ b/crates/hallpin/src/main.rs
@@ -0,0 +1,77 @@
+//! The command: it only parses, wires and prints.
+
+mod check;
+mod emulate;
+mod failure;
+mod schema;
+
+use std::io;
+use std::process::ExitCode;
+
+use clap::{CommandFactory, Parser, Subcommand};
+use clap_complete::Shell;
+
+use failure::Failure;
+
+/// A cache-routing node, an emulated fleet for it, and what is measured with them.
+///
+/// Exit codes: 0 done and good, 1 done and bad (a rule broken, an aim missed), 2 could not be done.
+/// Results go to standard output, logs to standard error; HALLPIN_LOG filters them.
+#[derive(Parser)]
+#[command(name = "hallpin", version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Runs one real node
+    #[command(
+        after_help = "Examples:\n  hallpin node --config node.json\n  RELAY_CONFIG=node.json hallpin node --log json"
+    )]
+    Node(hallpin_node::Options),
+    /// Plays a scenario and judges what came of it
+    #[command(after_help = "Examples:\n  \
+        hallpin emulate scenarios/quiet.toml\n  \
+        hallpin emulate scenarios/snow.toml --seed 7 --trace day.jsonl --chart day.svg\n  \
+        hallpin emulate scenarios/snow.toml --seeds 20 --policy all --json snow.json")]
+    Emulate(emulate::Options),
+    /// Reads files and says what is wrong with them, as FILE:LINE:COLUMN: FIELD: WHAT
+    #[command(after_help = "Examples:\n  hallpin check scenarios/*.toml")]
+    Check(check::Options),
+    /// Prints the documented form of a file, with every default
+    #[command(
+        after_help = "Examples:\n  hallpin schema scenario > mine.toml\n  hallpin schema scenario --json"
+    )]
+    Schema(schema::Options),
+    /// Prints completions for a shell
+    #[command(after_help = "Examples:\n  hallpin completions bash > /etc/bash_completion.d/hallpin")]
+    Completions {
+        /// The shell
+        shell: Shell,
+    },
+}
+
+fn run(command: Command) -> Result<ExitCode, Failure> {
+    match command {
+        Command::Node(options) => Ok(hallpin_node::main(options)),
+        Command::Emulate(options) => emulate::run(&options),
+        Command::Check(options) => check::run(&options),
+        Command::Schema(options) => schema::run(&options),
+        Command::Completions { shell } => {
+            clap_complete::generate(shell, &mut Cli::command(), "hallpin", &mut io::stdout());
+            Ok(ExitCode::SUCCESS)
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match run(Cli::parse().command) {
+        Ok(code) => code,
+        Err(failure) => {
+            eprintln!("hallpin: {failure}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/chart.rs
@@ -0,0 +1,122 @@
+//! Charts as SVG.
+
+use std::path::Path;
+
+use hallpin_model::referee::Verdict;
+use plotters::prelude::*;
+
+/// Why a chart was not drawn.
+#[derive(Debug)]
+pub struct ChartError(String);
+
+impl std::fmt::Display for ChartError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for ChartError {}
+
+impl<E: std::error::Error + Send + Sync> From<DrawingAreaErrorKind<E>> for ChartError {
+    fn from(error: DrawingAreaErrorKind<E>) -> Self {
+        ChartError(error.to_string())
+    }
+}
+
+const INK: RGBColor = RGBColor(40, 40, 40);
+const SERVED: RGBColor = RGBColor(44, 123, 182);
+const REFUSED: RGBColor = RGBColor(215, 110, 30);
+const FAILED: RGBColor = RGBColor(190, 30, 45);
+const PLANNER: RGBColor = RGBColor(90, 150, 70);
+
+/// A day second by second, one panel above the other: the share of the worth that was served, refusals and failures,
+/// and calls to the planner; incidents shaded.
+///
+/// # Errors
+/// Where the file cannot be written.
+pub fn day(verdict: &Verdict, title: &str, path: &Path) -> Result<(), ChartError> {
+    let mut svg = String::new();
+    draw_day(verdict, title, &mut svg)?;
+    std::fs::write(path, svg).map_err(|error| ChartError(format!("{}: {error}", path.display())))
+}
+
+fn draw_day(verdict: &Verdict, title: &str, svg: &mut String) -> Result<(), ChartError> {
+    let root = SVGBackend::with_string(svg, (960, 720)).into_drawing_area();
+    root.fill(&WHITE)?;
+    let root = root.titled(title, ("sans-serif", 20).into_font().color(&INK))?;
+    let panels = root.split_evenly((3, 1));
+    let seconds = &verdict.seconds;
+    let share = |n: usize| if seconds[n].asked > 0.0 { seconds[n].served / seconds[n].asked } else { 1.0 };
+    let last_asked = seconds.iter().rposition(|s| s.requests > 0).map_or(0, |n| n + 1);
+    let served: Vec<f64> = (0..last_asked).map(share).collect();
+    let count = |of: &dyn Fn(&hallpin_model::referee::Second) -> u64| -> Vec<f64> {
+        seconds.iter().map(|s| of(s) as f64).collect()
+    };
+    panel(
+        &panels[0],
+        verdict,
+        "served share of the worth asked for",
+        Some(1.0),
+        &[("served", SERVED, served)],
+    )?;
+    let rejected = count(&|s| s.rejected);
+    let failed = count(&|s| s.failed);
+    let ends = [("refused", REFUSED, rejected), ("failed", FAILED, failed)];
+    panel(&panels[1], verdict, "final refusals and failures a second", None, &ends)?;
+    let planner = count(&|s| s.planner);
+    let cold = count(&|s| s.planner_cold);
+    let calls = [("calls", PLANNER, planner), ("of cold boxes", SERVED, cold)];
+    panel(&panels[2], verdict, "calls to the planner a second", None, &calls)?;
+    root.present()?;
+    Ok(())
+}
+
+type Area<'a, 'b> = DrawingArea<SVGBackend<'a>, plotters::coord::Shift>;
+
+fn panel(
+    area: &Area<'_, '_>,
+    verdict: &Verdict,
+    title: &str,
+    most: Option<f64>,
+    lines: &[(&str, RGBColor, Vec<f64>)],
+) -> Result<(), ChartError> {
+    let length = verdict.seconds.len().max(1) as f64;
+    let highest = lines.iter().flat_map(|(.., values)| values).copied().fold(1.0, f64::max);
+    let most = most.unwrap_or(highest) * 1.05;
+    let mut chart = ChartBuilder::on(area)
+        .margin(8)
+        .caption(title, ("sans-serif", 14).into_font().color(&INK))
+        .x_label_area_size(28)
+        .y_label_area_size(48)
+        .build_cartesian_2d(0.0..length, 0.0..most)?;
+    chart
+        .configure_mesh()
+        .x_desc("seconds")
+        .x_labels(13)
+        .y_labels(5)
+        .light_line_style(WHITE)
+        .bold_line_style(INK.mix(0.1))
+        .draw()?;
+    for (from, until, _) in &verdict.incidents {
+        let until = until.map_or(length, |at| at.as_secs().min(length));
+        let corners = [(from.as_secs(), 0.0), (until.max(from.as_secs() + 0.2), most)];
+        chart.draw_series([Rectangle::new(corners, INK.mix(0.06).filled())])?;
+    }
+    for (name, color, values) in lines {
+        let points = values.iter().enumerate().map(|(n, value)| (n as f64 + 0.5, *value));
+        let color = *color;
+        chart
+            .draw_series(LineSeries::new(points, color.stroke_width(2)))?
+            .label(*name)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], color.stroke_width(2)));
+    }
+    if lines.len() > 1 {
+        chart
+            .configure_series_labels()
+            .background_style(WHITE.mix(0.8))
+            .border_style(INK.mix(0.2))
+            .position(SeriesLabelPosition::UpperRight)
+            .draw()?;
+    }
+    Ok(())
+}
