--- /dev/null
+++ b/crates/fleet/src/sockets/box_server.rs
@@ -0,0 +1,210 @@
+//! A box's machine on loopback: its listening socket, and the connections to it.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use hallpin_model::day::NodeId;
+use hallpin_model::list::BoxId;
+use hallpin_protocol::cache_server::{self, Call};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::{oneshot, watch};
+use tokio::time::{sleep, sleep_until, Instant};
+
+use super::stage::{Mode, Shared};
+
+/// Room for connections that have not been accepted yet.
+const BACKLOG: u32 = 1024;
+/// How long to wait before listening again where that failed.
+const PAUSE: Duration = Duration::from_millis(20);
+
+fn bind(address: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(backlog)
+}
+
+/// A free port at this address of the loopback net, which is held by nothing else of the machine.
+pub(super) fn reserve(ip: std::net::Ipv4Addr) -> std::io::Result<SocketAddr> {
+    let listener = std::net::TcpListener::bind((ip, 0))?;
+    listener.local_addr()
+}
+
+/// Plays a box's machine until the day is over.
+pub(super) async fn run(stage: Shared, at: BoxId) {
+    let address = stage.borrow().addresses[at];
+    let mut mode = stage.borrow().mode(at);
+    loop {
+        let now = *mode.borrow_and_update();
+        let turned = match now {
+            Mode::Open(life) => tokio::select! {
+                turned = mode.changed() => turned,
+                () = serve(&stage, at, life, address) => unreachable!("serves until its mode turns"),
+            },
+            Mode::Silent => tokio::select! {
+                turned = mode.changed() => turned,
+                () = swallow(address) => unreachable!("swallows until its mode turns"),
+            },
+            Mode::Down => mode.changed().await,
+        };
+        if turned.is_err() {
+            return;
+        }
+    }
+}
+
+async fn listen(address: SocketAddr, backlog: u32) -> TcpListener {
+    loop {
+        match bind(address, backlog) {
+            Ok(listener) => return listener,
+            // The one before it may not be gone yet.
+            Err(_) => sleep(PAUSE).await,
+        }
+    }
+}
+
+/// Accepts for ever, for one life of the process.
+async fn serve(stage: &Shared, at: BoxId, life: u32, address: SocketAddr) {
+    let listener = listen(address, BACKLOG).await;
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let (stage, mode) = (stage.clone(), stage.borrow().mode(at));
+                tokio::task::spawn_local(connection(stage, at, life, stream, mode));
+            }
+            Err(_) => sleep(PAUSE).await,
+        }
+    }
+}
+
+/// Lets no connection come up: a queue of one that is full, so that the kernel drops what comes.
+async fn swallow(address: SocketAddr) {
+    let listener = listen(address, 0).await;
+    let mut fillers = Vec::new();
+    // The first fills the queue; one that does not come up shows that it is full.
+    while let Ok(Ok(filler)) = tokio::time::timeout(PAUSE, TcpStream::connect(address)).await {
+        fillers.push(filler);
+    }
+    std::future::pending::<()>().await;
+    drop((listener, fillers));
+}
+
+/// An answer that is owed on a connection, in its turn.
+struct Owed {
+    reply: oneshot::Receiver<Vec<u8>>,
+    /// It has come, and goes out then.
+    ready: Option<(Vec<u8>, Instant)>,
+    token: Option<u64>,
+    delay: Duration,
+}
+
+impl Owed {
+    /// Waits until it may go out; false if nothing will come. Nothing is lost when the future is dropped.
+    async fn ready(&mut self) -> bool {
+        if self.ready.is_none() {
+            let Ok(text) = (&mut self.reply).await else { return false };
+            self.ready = Some((text, Instant::now() + self.delay));
+        }
+        if let Some((_, at)) = &self.ready {
+            sleep_until(*at).await;
+        }
+        true
+    }
+}
+
+/// Reads commands and answers them in their order, until either side ends or the process's life does.
+async fn connection(
+    stage: Shared,
+    at: BoxId,
+    life: u32,
+    mut stream: TcpStream,
+    mut mode: watch::Receiver<Mode>,
+) {
+    let idle_close = Duration::from_micros(stage.borrow().day.boxes[at].idle_close.0);
+    if *mode.borrow_and_update() != Mode::Open(life) || !stage.borrow_mut().connected(at) {
+        return reset(stream);
+    }
+    let _ = stream.set_nodelay(true);
+    let (mut input, mut owed, mut used) = (BytesMut::new(), VecDeque::<Owed>::new(), Instant::now());
+    // One whose machine is silent stays open and says nothing until the process has started anew.
+    let mut silent = false;
+    let ended_by_life = loop {
+        while let Some(call) = cache_server::next_call(&mut input) {
+            if let Some(next) = take(&stage, at, call, silent) {
+                owed.push_back(next);
+            }
+        }
+        let idle = owed.is_empty() && !silent;
+        let next = async {
+            match owed.front_mut() {
+                Some(first) => first.ready().await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            read = stream.read_buf(&mut input) => match read {
+                Ok(n) if n > 0 => used = Instant::now(),
+                _ => break false,
+            },
+            came = next, if !silent => {
+                let text = owed.pop_front().and_then(|first| first.ready).map(|(text, _)| text);
+                match text.filter(|_| came) {
+                    Some(text) if stream.write_all(&text).await.is_ok() => used = Instant::now(),
+                    _ => break false,
+                }
+            }
+            turned = mode.changed() => match (turned, *mode.borrow()) {
+                (Ok(()), Mode::Silent) => silent = true,
+                (Ok(()), Mode::Open(now)) if now == life => {}
+                _ => break true,
+            },
+            () = sleep_until(used + idle_close), if idle => break false,
+        }
+    };
+    for token in owed.iter().filter_map(|o| o.token) {
+        stage.borrow_mut().hung_up(token);
+    }
+    stage.borrow_mut().disconnected(at, life);
+    if ended_by_life {
+        reset(stream);
+    }
+}
+
+fn take(stage: &Shared, at: BoxId, call: Call, silent: bool) -> Option<Owed> {
+    let at_once = |text: Vec<u8>| {
+        let (tell, reply) = oneshot::channel();
+        let _ = tell.send(text);
+        Owed { reply, ready: None, token: None, delay: Duration::ZERO }
+    };
+    match call {
+        Call::Command(command) => {
+            let (tell, reply) = oneshot::channel();
+            let opaque = String::from_utf8_lossy(&command.opaque()).into_owned();
+            let taken: Option<(u64, NodeId)> = stage.borrow_mut().command(at, &opaque, tell);
+            let Some((token, node)) = taken else {
+                return Some(at_once(b"CLIENT_ERROR unknown id\r\n".to_vec()));
+            };
+            let delay = stage.borrow_mut().round_trip(node, at);
+            Some(Owed { reply, ready: None, token: Some(token), delay })
+        }
+        _ if silent => None,
+        Call::Ready => {
+            stage.borrow_mut().probed(at);
+            Some(at_once(b"MN\r\n".to_vec()))
+        }
+        Call::Load => {
+            stage.borrow_mut().probed(at);
+            let load = stage.borrow_mut().load(at);
+            Some(at_once(cache_server::load(&load)))
+        }
+        Call::Bad { answer, .. } => Some(at_once(answer.as_bytes().to_vec())),
+    }
+}
+
+/// Ends a connection as a process does that dies.
+fn reset(stream: TcpStream) {
+    let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+}
--- a/crates/hallpin/src/emulate.rs
+++ b/crates/hallpin/src/emulate.rs
@@ -1,6 +1,5 @@
 //! `hallpin emulate`: plays a scenario and judges what came of it.
 
-use std::io::IsTerminal;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -10,9 +9,9 @@
 use hallpin_fleet::{play, play_all, Played};
 use hallpin_lab::{chart, table};
 use hallpin_model::referee::Verdict;
-use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
 
 use crate::failure::{self, Failure};
+use crate::sockets;
 
 /// A policy, or all of them.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -50,6 +49,12 @@
     /// The scenario
     #[arg(value_name = "SCENARIO")]
     file: PathBuf,
+    /// Plays it in virtual time, as fast as the machine goes; this is what happens without it, too
+    #[arg(long = "virtual", conflicts_with = "sockets")]
+    in_virtual_time: bool,
+    /// Plays it on loopback sockets, with real nodes, as long as the day takes
+    #[arg(long)]
+    sockets: bool,
     /// Plays the day of this seed
     #[arg(long, default_value_t = 1, value_name = "N")]
     seed: u64,
@@ -74,9 +79,19 @@
 pub fn run(options: &Options) -> Result<ExitCode, Failure> {
     let scenario = failure::scenario(&options.file)?;
     let kinds = kinds(&options.policy);
+    if options.sockets && kinds != [Kind::Module] {
+        return Err(Failure::Usage(
+            "--sockets plays real nodes, in which the module decides: leave --policy out".into(),
+        ));
+    }
     let played = match (options.seeds, &kinds[..]) {
         (None, [kind]) => {
-            let played = play(&scenario, options.seed, *kind, options.trace.as_deref())?;
+            let trace = options.trace.as_deref();
+            let played = if options.sockets {
+                sockets::play(&scenario, options.seed, trace)?.0
+            } else {
+                play(&scenario, options.seed, *kind, trace)?
+            };
             println!("{}, seed {}, {}\n", scenario.name, played.seed, kind.name());
             println!("{}", table::day(&played.verdict));
             if let Some(path) = &options.chart {
@@ -92,10 +107,18 @@
                 return Err(Failure::Usage("--trace and --chart are of one day: give one policy".into()));
             }
             let seeds: Vec<u64> = (options.seed..).take(seeds.unwrap_or(1).max(1) as usize).collect();
-            let bar = progress((seeds.len() * kinds.len()) as u64);
-            let played = play_all(&scenario, &seeds, &kinds, &|| bar.inc(1));
-            bar.finish_and_clear();
-            let played = played?;
+            let played = if options.sockets {
+                seeds
+                    .iter()
+                    .map(|seed| Ok(sockets::play(&scenario, *seed, None)?.0))
+                    .collect::<Result<_, Failure>>()?
+            } else {
+                let days = (seeds.len() * kinds.len()) as u64;
+                let bar = sockets::progress(days, "{bar:40} {pos}/{len} days, {eta} to go");
+                let played = play_all(&scenario, &seeds, &kinds, &|| bar.inc(1));
+                bar.finish_and_clear();
+                played?
+            };
             println!("{}, seeds {} to {}\n", scenario.name, seeds[0], seeds[seeds.len() - 1]);
             println!("{}", table::comparison(&played));
             played
@@ -121,18 +144,3 @@
     kinds.retain(|kind| seen.insert(*kind));
     kinds
 }
-
-/// A bar on a terminal, and nothing elsewhere.
-fn progress(days: u64) -> ProgressBar {
-    let target = if std::io::stderr().is_terminal() {
-        ProgressDrawTarget::stderr()
-    } else {
-        ProgressDrawTarget::hidden()
-    };
-    let bar = ProgressBar::with_draw_target(Some(days), target);
-    // The template is a constant that the crate reads.
-    if let Ok(style) = ProgressStyle::with_template("{bar:40} {pos}/{len} days, {eta} to go") {
-        bar.set_style(style);
-    }
-    bar
-}
--- a/crates/hallpin/src/failure.rs
+++ b/crates/hallpin/src/failure.rs
@@ -2,7 +2,7 @@
 
 use std::path::{Path, PathBuf};
 
-use hallpin_fleet::PlayError;
+use hallpin_fleet::{PlayError, SocketsError};
 use hallpin_lab::chart::ChartError;
 use hallpin_model::scenario::{Scenario, Unreadable};
 
@@ -18,6 +18,9 @@
     /// A day was not played.
     #[error(transparent)]
     Play(#[from] PlayError),
+    /// A day on sockets was not played to its end.
+    #[error(transparent)]
+    Sockets(#[from] SocketsError),
     /// A chart was not drawn.
     #[error(transparent)]
     Chart(#[from] ChartError),
--- a/crates/hallpin/src/main.rs
+++ b/crates/hallpin/src/main.rs
@@ -4,6 +4,8 @@
 mod emulate;
 mod failure;
 mod schema;
+mod sockets;
+mod try_out;
 
 use std::io;
 use std::process::ExitCode;
@@ -31,6 +33,11 @@
         after_help = "Examples:\n  hallpin node --config node.json\n  RELAY_CONFIG=node.json hallpin node --log json"
     )]
     Node(hallpin_node::Options),
+    /// Starts an emulated fleet with real nodes, breaks some of it, and tells what happened
+    #[command(
+        after_help = "Examples:\n  hallpin try\n  hallpin try --seconds 60 --scenario scenarios/snow.toml"
+    )]
+    Try(try_out::Options),
     /// Plays a scenario and judges what came of it
     #[command(after_help = "Examples:\n  \
         hallpin emulate scenarios/quiet.toml\n  \
@@ -56,6 +63,7 @@
 fn run(command: Command) -> Result<ExitCode, Failure> {
     match command {
         Command::Node(options) => Ok(hallpin_node::main(options)),
+        Command::Try(options) => try_out::run(&options),
         Command::Emulate(options) => emulate::run(&options),
         Command::Check(options) => check::run(&options),
         Command::Schema(options) => schema::run(&options),
--- a/crates/model/src/referee.rs
+++ b/crates/model/src/referee.rs
@@ -404,7 +404,8 @@
         let second = self.second(at);
         second.asked += worth;
         second.requests += 1;
-        let last = Loss::Open;
+        // Until a node takes a try of it.
+        let last = Loss::NodeDown;
         self.asks.insert(id, Asking { class, tenant, key, work, worth, within, first: at, last });
     }
 
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -205,7 +205,27 @@
     outs: Vec<BoxOut>,
 }
 
+/// The parts of a world as its day begins, for those who move the events themselves.
+pub struct Parts {
+    /// All boxes of the day, those that run with warm stores.
+    pub boxes: Vec<CacheBox>,
+    /// The planner.
+    pub planner: Planner,
+    /// The list, with the boxes that run.
+    pub list: List,
+    /// The clients.
+    pub clients: Clients,
+    /// The keys.
+    pub keys: Keys,
+}
+
 impl<'a, S: Sink> World<'a, S> {
+    /// Takes the world apart before its day has begun.
+    pub fn into_parts(self) -> Parts {
+        let World { boxes, planner, list, clients, keys, .. } = self;
+        Parts { boxes: boxes.into_iter().map(|place| place.cache).collect(), planner, list, clients, keys }
+    }
+
     /// The world as the day begins, with warm stores.
     ///
     /// # Errors
@@ -275,7 +295,11 @@
             hosts,
         };
         world.warm_up()?;
-        world.begin();
+        for b in 0..world.boxes.len() {
+            if world.boxes[b].cache.is_up() {
+                world.list.set(listing(b, Phase::Ready, None));
+            }
+        }
         Ok(world)
     }
 
@@ -340,7 +364,6 @@
         for b in 0..self.boxes.len() {
             if self.boxes[b].cache.is_up() {
                 self.tell_up(b, false);
-                self.list.set(listing(b, Phase::Ready, None));
             }
         }
         let whole = self.list.whole();
@@ -359,23 +382,19 @@
 
     /// Plays the day to its end and returns how many events that took.
     pub fn run(mut self) -> (u64, S) {
+        self.begin();
         let end = self.end();
         while self.step(end) {}
         (self.steps, self.sink)
     }
 
     /// When nothing more can happen.
-    pub fn end(&self) -> Time {
+    fn end(&self) -> Time {
         Time::ZERO + self.day.length + self.day.longest_deadline() + TAIL
     }
 
-    /// How far the day has come.
-    pub fn now(&self) -> Time {
-        self.now
-    }
-
     /// Plays one event, if one is due before the end; the day is over after the last.
-    pub fn step(&mut self, end: Time) -> bool {
+    fn step(&mut self, end: Time) -> bool {
         match self.queue.pop() {
             Some(Reverse(Entered { at, due, .. })) if at <= end => {
                 debug_assert!(at >= self.now, "time goes forward");
--- a/crates/model/tests/referee.rs
+++ b/crates/model/tests/referee.rs
@@ -287,7 +287,7 @@
     let want = one * (10.0 + 10.0 * day.goal.over_share_worth);
     assert!((verdict.whole.asked - want).abs() < 1e-9, "{}", verdict.whole.asked);
     assert_eq!(verdict.tenants[0].1.requests, 10);
-    assert_eq!(verdict.losses.keys().collect::<Vec<_>>(), [&Loss::Open]);
+    assert_eq!(verdict.losses.keys().collect::<Vec<_>>(), [&Loss::NodeDown]);
 }
 
 #[test]
