--- /dev/null
+++ b/crates/decisions/benches/growth.rs
@@ -0,0 +1,113 @@
+//! How the module's cost grows with the fleet: a whole list, a change of one server, and a request with its outcome.
+
+use criterion::{criterion_group, criterion_main, BatchSize, BenchmarkId, Criterion};
+use hallpin_decisions::*;
+
+fn settings() -> Settings {
+    let read = Class {
+        name: "read".into(),
+        aim: 1.0,
+        deadline: 2.0,
+        worth: 1.0,
+        late_worth: 0.0,
+        effect: Effect::Safe,
+        group: Group::All,
+        window: 0.0,
+        streamed: false,
+    };
+    Settings {
+        balancers: 5,
+        zone: "a".into(),
+        classes: vec![read],
+        weights: WeightSource::Nominal,
+        guarantees: Guarantees { cold_from: 0.2, ramp: 20.0, ..Guarantees::default() },
+        limits: Limits {
+            cancel: true,
+            probes: true,
+            max_attempts: 3,
+            second_copies: true,
+            ..Limits::default()
+        },
+        prices: Prices { cross_zone: 0.01 },
+        round: 0.005,
+        ..Settings::default()
+    }
+}
+
+fn entry(n: usize, state: ServerState) -> RosterEntry {
+    RosterEntry {
+        server: ServerId(format!("box-{n:05}").into()),
+        state,
+        zone: ["a", "b", "c", "d"][n % 4].into(),
+        weight: 1.0 + (n % 2) as f64,
+        kind: "k".into(),
+        ..RosterEntry::default()
+    }
+}
+
+fn list(boxes: usize) -> Vec<RosterEntry> {
+    (0..boxes).map(|n| entry(n, ServerState::Ready)).collect()
+}
+
+fn node(boxes: usize) -> Balancer {
+    let mut node = Balancer::new(settings(), 1).expect("settings that make sense");
+    node.handle(0.0, Event::Roster(RosterNews::Full(list(boxes))), &mut Vec::new());
+    node
+}
+
+fn growth(c: &mut Criterion) {
+    for boxes in [12, 100, 1_000, 10_000] {
+        let mut group = c.benchmark_group("module");
+        group.sample_size(10);
+        group.bench_with_input(BenchmarkId::new("whole list", boxes), &boxes, |b, &boxes| {
+            let fresh = || (Balancer::new(settings(), 1).expect("settings"), list(boxes));
+            b.iter_batched(
+                fresh,
+                |(mut node, list)| {
+                    node.handle(0.0, Event::Roster(RosterNews::Full(list)), &mut Vec::new());
+                    node
+                },
+                BatchSize::LargeInput,
+            );
+        });
+        group.bench_with_input(BenchmarkId::new("one change", boxes), &boxes, |b, &boxes| {
+            let (mut node, mut ready) = (node(boxes), false);
+            b.iter(|| {
+                let state = if ready { ServerState::Ready } else { ServerState::Draining };
+                ready = !ready;
+                node.handle(1.0, Event::Roster(RosterNews::Delta(vec![entry(0, state)])), &mut Vec::new());
+            });
+        });
+        group.bench_with_input(BenchmarkId::new("request", boxes), &boxes, |b, &boxes| {
+            let (mut node, mut id, mut actions) = (node(boxes), 0, Vec::new());
+            b.iter(|| {
+                id += 1;
+                let now = id as f64 * 1e-4;
+                let request = NewRequest {
+                    id: RequestId(id),
+                    left: 1.0,
+                    class: Some(ClassId(0)),
+                    tenant: None,
+                    key: Some(Key(id.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 50)),
+                    write: false,
+                    work: Some(0.05),
+                };
+                actions.clear();
+                node.handle(now, Event::Request(request), &mut actions);
+                let outcome = Outcome {
+                    request: RequestId(id),
+                    attempt: AttemptId(0),
+                    status: Status::Success,
+                    elapsed: 0.05,
+                    finished: true,
+                    note: Some(CacheNote::Hit),
+                };
+                node.handle(now + 0.00005, Event::Outcome(outcome), &mut actions);
+            });
+        });
+        group.finish();
+    }
+}
+
+criterion_group!(benches, growth);
+criterion_main!(benches);
--- /dev/null
+++ b/crates/model/src/world/incidents.rs
@@ -0,0 +1,115 @@
+//! Incidents: what begins and ends, and the truth for those who may see it.
+
+use super::*;
+
+impl<S: Sink> World<'_, S> {
+    pub(super) fn incident_begins(&mut self, at: usize) {
+        let scheduled = &self.day.incidents[at];
+        self.record(Event::Begins { incident: at, what: scheduled.incident.to_string() });
+        let mut told = Vec::new();
+        match &scheduled.incident {
+            Incident::Silent(boxes) => boxes.iter().for_each(|&b| self.silence_box(b)),
+            Incident::Slow(boxes, factor) => boxes.iter().for_each(|&b| {
+                self.boxes[b].cache.slow_by(self.now, *factor);
+                self.after_box(b);
+            }),
+            Incident::Heavy { class, share, factor } => self.clients.heavy(*class, Some((*share, *factor))),
+            Incident::NodeDeath(nodes) => nodes.iter().for_each(|&node| self.node_ends(node, false)),
+            Incident::NodeRestart(nodes) => nodes.iter().for_each(|&node| self.restart(node)),
+            Incident::ListOutage => self.list_silent += 1,
+            Incident::PlannerSlow(factor) => self.planner.slow_by(*factor),
+            Incident::PlannerSilent => self.planner.silence(self.now, true, &mut told),
+            Incident::Partition(a, b) => self.part(*a, *b, 1),
+            Incident::Drain(boxes) => boxes.iter().for_each(|&b| {
+                let started = self.boxes[b].cache.started();
+                self.known_after(self.day.list.notice, listing(b, Phase::Draining, started));
+            }),
+            Incident::Join(boxes) => boxes.iter().for_each(|&b| self.start_box(b)),
+            Incident::Burst { factor, share, keys } => {
+                let top = self.chance.some(*keys as usize, self.day.keys.count as usize);
+                let keys = top.into_iter().map(|key| key as KeyId).collect();
+                self.clients.burst(at, Some((*factor, *share, keys)));
+            }
+        }
+        self.after_planner(told);
+        if !scheduled.lasts.is_zero() {
+            self.after(scheduled.lasts, Due::Ends(at));
+        }
+    }
+
+    pub(super) fn incident_ends(&mut self, at: usize) {
+        self.record(Event::Ends { incident: at });
+        let mut told = Vec::new();
+        match &self.day.incidents[at].incident {
+            Incident::Silent(boxes) => boxes.iter().for_each(|&b| self.unsilence_box(b)),
+            Incident::Slow(boxes, factor) => boxes.iter().for_each(|&b| {
+                self.boxes[b].cache.slow_by(self.now, 1.0 / factor);
+                self.after_box(b);
+            }),
+            Incident::Heavy { class, .. } => self.clients.heavy(*class, None),
+            Incident::NodeDeath(nodes) => nodes.iter().for_each(|&node| self.node_starts(node)),
+            Incident::NodeRestart(_) => {}
+            Incident::ListOutage => {
+                self.list_silent -= 1;
+                self.spread_news();
+            }
+            Incident::PlannerSlow(factor) => self.planner.slow_by(1.0 / factor),
+            Incident::PlannerSilent => self.planner.silence(self.now, false, &mut told),
+            Incident::Partition(a, b) => self.part(*a, *b, -1),
+            Incident::Drain(boxes) => boxes.iter().for_each(|&b| {
+                self.stop_box(b);
+                self.known_after(self.day.list.notice, listing(b, Phase::Gone, None));
+            }),
+            Incident::Join(_) => {}
+            Incident::Burst { .. } => self.clients.burst(at, None),
+        }
+        self.after_planner(told);
+    }
+
+    /// The machine says nothing any more: connections stay open and silent. The list notices late.
+    pub(super) fn silence_box(&mut self, at: BoxId) {
+        self.boxes[at].silent += 1;
+        if self.boxes[at].silent > 1 || !self.boxes[at].cache.is_up() {
+            return;
+        }
+        self.boxes[at].cache.stop();
+        self.record(Event::BoxDown { of: at });
+        self.known_after(self.day.list.silent_notice, listing(at, Phase::Gone, None));
+    }
+
+    /// The machine is back, its process started anew and empty.
+    pub(super) fn unsilence_box(&mut self, at: BoxId) {
+        self.boxes[at].silent -= 1;
+        if self.boxes[at].silent == 0 && !self.boxes[at].cache.is_up() && !self.boxes[at].cache.has_fallen() {
+            self.start_box(at);
+        }
+    }
+
+    /// A planned restart: the node accepts a little longer, answers all, leaves and comes back.
+    pub(super) fn restart(&mut self, node: NodeId) {
+        if !self.hosts[node].alive {
+            return;
+        }
+        let life = self.hosts[node].life;
+        let leave = self.day.longest_deadline() + LEAVE;
+        (self.hosts[node].leaving, self.hosts[node].gone_at) =
+            (Some(self.now + STILL_COMING), Some(self.now));
+        self.after(leave, Due::NodeLeaves { node, life });
+        self.after(leave + LEAVE, Due::NodeStarts(node));
+    }
+
+    pub(super) fn true_boxes(&mut self, node: NodeId, key: KeyId) -> Vec<TrueBox> {
+        let (now, version) = (self.now, self.planner.version(key));
+        let depot = self.hosts[node].depot;
+        let parted: Vec<bool> = self.day.boxes.iter().map(|spec| self.is_parted(depot, spec.depot)).collect();
+        let seen = |(at, place): (usize, &mut Place)| TrueBox {
+            server: place.server.clone(),
+            up: place.cache.is_up() && place.silent == 0 && !parted[at],
+            capacity: place.cache.present_capacity(now),
+            held: place.cache.held(),
+            room: (place.cache.spec.slots + place.cache.spec.waiting) as usize,
+            keeps: place.cache.keeps(now, key, version),
+        };
+        self.boxes.iter_mut().enumerate().map(seen).collect()
+    }
+}
--- /dev/null
+++ b/crates/model/src/world/lives.rs
@@ -0,0 +1,66 @@
+//! Lives of nodes: starts, deaths and planned stops.
+
+use super::*;
+
+impl<S: Sink> World<'_, S> {
+    /// A node's process is up: it has its last list, and soon what discovery has.
+    pub(super) fn start_host(&mut self, node: NodeId) {
+        let held = self.hosts[node].held.clone();
+        let life = self.hosts[node].life;
+        for entry in &held {
+            if let Some(&of) = self.servers.get(&entry.server) {
+                let phase = if entry.state == ServerState::Ready { Phase::Ready } else { Phase::Draining };
+                let started = entry.started.map(|s| Time::ZERO + Span::from_secs(s));
+                self.record(Event::Told { node, of, phase, started });
+            }
+        }
+        self.tell(node, decisions::Event::Roster(RosterNews::Cached(held)));
+        self.hosts[node].revision = 0;
+        let late = Span::from_secs(self.network.between(0.0, self.day.list.spread.as_secs()));
+        self.after(late, Due::Tells { node, life });
+        self.after(SWEEP, Due::Sweep { node, life });
+    }
+
+    pub(super) fn node_starts(&mut self, node: NodeId) {
+        if self.hosts[node].alive {
+            return;
+        }
+        let host = &mut self.hosts[node];
+        host.starts += 1;
+        let seed = seed_of(self.day.seed, node, host.starts);
+        // The same settings were good at the day's beginning.
+        if let Ok(policy) = (self.start)(host.settings.clone(), seed) {
+            host.policy = policy;
+            (host.alive, host.leaving, host.gone_at) = (true, None, None);
+            self.record(Event::NodeUp { node });
+            self.start_host(node);
+        }
+    }
+
+    pub(super) fn node_ends(&mut self, node: NodeId, planned: bool) {
+        if !self.hosts[node].alive {
+            return;
+        }
+        self.record(Event::NodeDown { node, planned });
+        let host = &mut self.hosts[node];
+        (host.alive, host.gone_at) = (false, host.gone_at.or(Some(self.now)));
+        host.life += 1;
+        host.events.clear();
+        let mut open: Vec<(TryId, bool)> = host.tries.drain().map(|(id, live)| (id, live.answered)).collect();
+        open.sort_unstable();
+        let held: Vec<u64> =
+            self.flights.iter().filter(|(_, f)| f.node == node).map(|(_, f)| f.token).collect();
+        held.into_iter().for_each(|token| self.hang_up(token));
+        for to in 0..self.boxes.len() {
+            self.drop_pool(node, to, 0);
+        }
+        for (id, _) in open.into_iter().filter(|(_, answered)| !answered) {
+            let way = self.jittered(self.day.network.client);
+            self.after(way, Due::Reply { id, reply: Reply::Reset });
+        }
+    }
+
+    pub(super) fn node_leaves(&mut self, node: NodeId) {
+        self.node_ends(node, true);
+    }
+}
--- a/crates/model/tests/world.rs
+++ b/crates/model/tests/world.rs
@@ -142,3 +142,69 @@
     assert!(verdict.is_clean(), "{:?}", verdict.told);
     assert!(verdict.losses.contains_key(&Loss::NoAnswer), "{:?}", verdict.losses);
 }
+
+/// Two incidents on one box: it is silent until both have ended, slow through both, and comes back once.
+#[test]
+fn incidents_on_one_box_add_up_and_it_comes_back_once() {
+    let twice = r#"
+[[boxes]]
+kind = "only"
+count = 1
+cores = 24.0
+waiting_per_core = 10.0
+[[incidents]]
+kind = "silent"
+at = "3s"
+lasts = "4s"
+boxes = 1
+[[incidents]]
+kind = "slow"
+at = "4s"
+lasts = "12s"
+boxes = 1
+factor = 2.0
+[[incidents]]
+kind = "silent"
+at = "5s"
+lasts = "5s"
+boxes = 1
+"#;
+    let (text, verdict) = trace(twice, 2);
+    assert!(verdict.is_clean(), "{:?}", verdict.told);
+    let at = |event: &str| -> Vec<u64> {
+        let line = |line: &str| serde_json::from_str::<Line>(line).expect("a line").at.0;
+        text.lines().filter(|l| l.contains(event)).map(line).collect()
+    };
+    assert_eq!(at("\"box-down\""), [3_000_000]);
+    assert_eq!(at("\"box-up\""), [0, 10_000_000], "when the later of the two has ended");
+}
+
+/// A client that stopped waiting comes again while the box still works for its first try: two tries, one answer each.
+#[test]
+fn a_retry_while_its_first_try_still_runs_is_answered_once() {
+    let mut scenario =
+        scenario("[[incidents]]\nkind = \"slow\"\nat = \"2s\"\nlasts = \"15s\"\npart = 1.0\nfactor = 12.0\n");
+    scenario.clients.rate = hallpin_model::range::Range::one(20.0);
+    scenario.clients.retries = hallpin_model::range::Range::one(2);
+    let day = scenario.draw(4).expect("a day");
+    let (mut tries, mut received, mut again) =
+        (std::collections::BTreeMap::new(), std::collections::BTreeMap::new(), 0);
+    let mut referee = Referee::new(&day);
+    let sink = |at: Time, event: &Event| {
+        match event {
+            Event::Taken { ask, .. } => {
+                let tries = tries.entry(*ask).or_insert(0);
+                *tries += 1;
+                again += u32::from(*tries > 1);
+            }
+            Event::Received { ask, .. } => *received.entry(*ask).or_insert(0) += 1,
+            _ => {}
+        }
+        hallpin_model::trace::Sink::record(&mut referee, at, event);
+    };
+    let _ = World::new(&day, &policy::module, sink).expect("a world").run();
+    let verdict = referee.verdict();
+    assert!(verdict.is_clean(), "{:?}", verdict.told);
+    assert!(again > 20, "{again} came again");
+    assert!(received.values().all(|n| *n == 1));
+}
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -2,7 +2,7 @@
 //! connections to it. One attempt at a time on a connection, as an answer waits behind those before it.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
@@ -210,8 +210,9 @@
         let now = Instant::now();
         let past = now + self.bounds.grace;
         if roster.complete {
-            let listed = |id: &ServerId| roster.members.iter().any(|m| m.entry.server == *id);
-            for (_, endpoint) in endpoints.iter_mut().filter(|(id, _)| !listed(id)) {
+            // A set: looked up one by one, a list of ten thousand took the node's only thread for seconds.
+            let listed: HashSet<&ServerId> = roster.members.iter().map(|m| &m.entry.server).collect();
+            for (_, endpoint) in endpoints.iter_mut().filter(|(id, _)| !listed.contains(id)) {
                 endpoint.closes.get_or_insert(past);
             }
         }
@@ -414,6 +415,29 @@
         }
     }
 
+    /// What a whole list costs that names the servers known already; for docs/measurements/growth.md.
+    #[test]
+    #[ignore = "a measurement: run with --ignored --nocapture, in release"]
+    fn measure_learning_a_whole_list() {
+        for servers in [12, 100, 1_000, 10_000] {
+            let member = |n| format!(r#"{{"id":"box-{n:05}","host_port":"127.0.0.1:9","phase":"ready"}}"#);
+            let members: Vec<String> = (0..servers).map(member).collect();
+            let list = format!(r#"{{"revision":1,"complete":true,"members":[{}]}}"#, members.join(","));
+            let roster = Roster::from_json(list.as_bytes(), &Clock::start()).unwrap();
+            let upstream = upstream(LONG, 9);
+            upstream.learn(&roster);
+            let mut times: Vec<Duration> = (0..9)
+                .map(|_| {
+                    let start = std::time::Instant::now();
+                    upstream.learn(&roster);
+                    start.elapsed()
+                })
+                .collect();
+            times.sort();
+            println!("{servers} servers: median {:?}, {:?} to {:?}", times[4], times[0], times[8]);
+        }
+    }
+
     /// News of a drain that comes while an attempt waits for its connection: past the grace not a byte is
     /// written, and the attempt never ran.
     #[tokio::test]
