--- /dev/null
+++ b/crates/hallpin/tests/sockets.rs
@@ -0,0 +1,105 @@
+//! Days on loopback sockets with real nodes: the rules are kept and nothing is left behind.
+//!
+//! A file of its own, so that nothing that takes whole cores runs beside them.
+
+mod common;
+
+use std::process::Command;
+
+use common::*;
+
+/// Real nodes on sockets: the rules are kept, a killed node comes back, and nothing is left running.
+#[test]
+fn a_day_on_sockets_keeps_the_rules_and_leaves_nothing_behind() {
+    let folder = Folder::new();
+    let file = folder.file("short.toml", SHORT);
+    let (json, trace) = (folder.path("day.json"), folder.path("day.jsonl"));
+    let output = hallpin(&["emulate", &file, "--sockets", "--json", &json, "--trace", &trace]);
+    let told = text(&output.stdout);
+    assert_eq!(output.status.code(), Some(0), "{told}{}", text(&output.stderr));
+    let played: serde_json::Value =
+        serde_json::from_slice(&std::fs::read(json).expect("a verdict")).expect("JSON");
+    let completed = played[0]["verdict"]["classes"][0]["completed"].as_u64().expect("a figure");
+    assert!(completed > 20, "{played:#}");
+    let trace = std::fs::read_to_string(trace).expect("a trace");
+    let nodes = |event: &str| trace.lines().filter(|line| line.contains(event)).count();
+    assert_eq!((nodes("\"node-up\""), nodes("\"node-down\"")), (3, 1));
+}
+
+#[test]
+fn try_leaves_a_table_and_a_chart() {
+    let folder = Folder::new();
+    let chart = folder.path("try.svg");
+    let file = folder.file("short.toml", SHORT);
+    let output = hallpin(&["try", "--scenario", &file, "--chart", &chart]);
+    let told = text(&output.stdout);
+    assert_eq!(output.status.code(), Some(0), "{told}{}", text(&output.stderr));
+    assert!(told.contains("served worth") && told.contains("rules: "), "{told}");
+    assert!(std::fs::metadata(chart).expect("a chart").len() > 1000);
+}
+
+/// The processes that a process has started, as the kernel has them.
+fn children(pid: u32) -> Vec<u32> {
+    let listed = std::fs::read_to_string(format!("/proc/{pid}/task/{pid}/children")).unwrap_or_default();
+    listed.split_whitespace().filter_map(|pid| pid.parse().ok()).collect()
+}
+
+fn runs(pid: u32) -> bool {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    // Behind the name in brackets stands the state; what has ended and was not yet waited for runs no more.
+    status.rsplit(") ").next().is_some_and(|rest| !rest.is_empty() && !rest.starts_with('Z'))
+}
+
+/// An interrupt ends the day early: what has happened is told, and every node has ended.
+#[test]
+fn an_interrupt_ends_the_day_and_every_node() {
+    let folder = Folder::new();
+    let file = folder.file("long.toml", &SHORT.replace("length = \"2s\"", "length = \"300s\""));
+    let chart = folder.path("try.svg");
+    let child = Command::new(env!("CARGO_BIN_EXE_hallpin"))
+        .args(["try", "--scenario", &file, "--chart", &chart])
+        .stdout(std::process::Stdio::piped())
+        .stderr(std::process::Stdio::piped())
+        .spawn()
+        .expect("the command runs");
+    let began = std::time::Instant::now();
+    let nodes = loop {
+        let nodes = children(child.id());
+        // Only a failing test waits for this.
+        assert!(began.elapsed().as_secs() < 30, "two nodes come up, got {nodes:?}");
+        if nodes.len() == 2 {
+            break nodes;
+        }
+        std::thread::yield_now();
+    };
+    let pid = rustix::process::Pid::from_raw(child.id() as i32).expect("a process id");
+    rustix::process::kill_process(pid, rustix::process::Signal::INT).expect("a signal");
+    let output = child.wait_with_output().expect("it ends");
+    let told = text(&output.stdout);
+    assert!(output.status.code().is_some(), "it ended by itself: {told}{}", text(&output.stderr));
+    assert!(told.contains("ended early"), "{told}");
+    assert!(nodes.iter().all(|pid| !runs(*pid)), "left behind: {nodes:?}");
+}
+
+/// A box leaves and another comes up at its address under a new id; real nodes tell them apart.
+#[test]
+fn a_replaced_box_at_its_predecessors_address_breaks_nothing() {
+    let folder = Folder::new();
+    let replace = "[[incidents]]\nkind = \"replace\"\nat = \"300ms\"\nlasts = \"1200ms\"\nboxes = 2\nsame_address = true\n";
+    let quick = "[list]\nadd = \"50ms\"\nnotice = \"50ms\"\nspread = \"50ms\"\n";
+    let base = SHORT
+        .split("[[incidents]]")
+        .next()
+        .expect("the part before")
+        .replace("length = \"2s\"", "length = \"4s\"");
+    let file = folder.file("replace.toml", &format!("{base}{quick}{replace}"));
+    let trace = folder.path("day.jsonl");
+    let output = hallpin(&["emulate", &file, "--sockets", "--trace", &trace]);
+    assert_eq!(output.status.code(), Some(0), "{}{}", text(&output.stdout), text(&output.stderr));
+    let trace = std::fs::read_to_string(trace).expect("a trace");
+    let cold = trace.lines().filter(|l| l.contains("\"box-up\"") && l.contains("\"cold\":true")).count();
+    let sent_to_new = trace
+        .lines()
+        .any(|l| l.contains("\"sent\"") && (l.contains("\"to\":12,") || l.contains("\"to\":13,")));
+    assert!(cold == 2 && sent_to_new, "{cold} came up cold, sent to: {sent_to_new}");
+}
