--- a/crates/fleet/src/sockets/stage.rs
+++ b/crates/fleet/src/sockets/stage.rs
@@ -1,13 +1,13 @@
 //! What all stand-ins share: the model's parts, the trace, and what is due when.
 
 use std::cell::RefCell;
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hallpin_decisions::CacheNote;
+use hallpin_model::agenda::Agenda;
 use hallpin_model::cache_box::{BoxAnswer, BoxOut, CacheBox, Job};
 use hallpin_model::chance::Chance;
 use hallpin_model::clients::{Clients, Step};
@@ -39,32 +39,6 @@
     KeyChanges,
 }
 
-struct Entered {
-    at: Time,
-    order: u64,
-    due: Due,
-}
-
-impl PartialEq for Entered {
-    fn eq(&self, other: &Self) -> bool {
-        (self.at, self.order) == (other.at, other.order)
-    }
-}
-
-impl Eq for Entered {}
-
-impl PartialOrd for Entered {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Entered {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at, self.order).cmp(&(other.at, other.order))
-    }
-}
-
 /// How a box's machine meets the network.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Mode {
@@ -153,8 +127,7 @@
     waiting: FxHashMap<u64, Waiting>,
     tokens: u64,
     pub tries: FxHashMap<TryId, Tried>,
-    queue: BinaryHeap<Reverse<Entered>>,
-    order: u64,
+    agenda: Agenda<Due>,
     chance: Chance,
     pub referee: Referee,
     pub trace: Option<TraceFile<std::io::BufWriter<std::fs::File>>>,
@@ -195,8 +168,7 @@
             waiting: FxHashMap::default(),
             tokens: 0,
             tries: FxHashMap::default(),
-            queue: BinaryHeap::new(),
-            order: 0,
+            agenda: Agenda::default(),
             chance: Chance::new(day.seed, "sockets"),
             referee,
             trace: None,
@@ -250,9 +222,8 @@
     }
 
     fn enter(&mut self, at: Time, due: Due) {
-        self.order += 1;
-        let first = self.queue.peek().is_none_or(|Reverse(e)| at < e.at);
-        self.queue.push(Reverse(Entered { at, order: self.order, due }));
+        let first = self.next_due().is_none_or(|next| at < next);
+        self.agenda.enter(at, due);
         if first {
             self.stirred.notify_one();
         }
@@ -263,19 +234,14 @@
     }
 
     pub fn next_due(&self) -> Option<Time> {
-        self.queue.peek().map(|Reverse(e)| e.at)
+        self.agenda.next()
     }
 
     /// Plays all that is due by now.
     pub fn play_due(&mut self) {
         let now = self.now();
-        while let Some(Reverse(entered)) = self.queue.peek() {
-            if entered.at > now {
-                return;
-            }
-            if let Some(Reverse(Entered { at, due, .. })) = self.queue.pop() {
-                self.play(at, due);
-            }
+        while let Some((at, due)) = self.agenda.take_until(now) {
+            self.play(at, due);
         }
     }
 
--- a/crates/model/src/day.rs
+++ b/crates/model/src/day.rs
@@ -184,8 +184,9 @@
     pub planner_for: Span,
 }
 
-/// What the deployment allows.
-#[derive(Clone, Debug, PartialEq)]
+/// What the deployment allows, as a scenario writes it and a day has it.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize, schemars::JsonSchema)]
+#[serde(default, deny_unknown_fields)]
 pub struct LimitsSpec {
     /// Attempts may be cancelled.
     pub cancel: bool,
@@ -207,6 +208,22 @@
     pub reports: bool,
 }
 
+impl Default for LimitsSpec {
+    fn default() -> Self {
+        LimitsSpec {
+            cancel: true,
+            probes: true,
+            peers: true,
+            second_copies: true,
+            retry_after: true,
+            max_attempts: 3,
+            dial_timeout: Span::from_millis(250),
+            probe_timeout: Span::from_millis(400),
+            reports: true,
+        }
+    }
+}
+
 /// What a result is made of.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GoalSpec {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod agenda;
 pub mod cache_box;
 pub mod chance;
 pub mod clients;
--- a/crates/model/src/scenario/draw.rs
+++ b/crates/model/src/scenario/draw.rs
@@ -4,8 +4,8 @@
 use crate::cache_box::BoxSpec;
 use crate::chance::{Chance, Spread};
 use crate::day::{
-    ClassSpec, ClientsSpec, Day, GoalSpec, Incident, KeysSpec, LimitsSpec, ListSpec, NetworkSpec, PricesSpec,
-    RulesSpec, Scheduled, TenantSpec,
+    ClassSpec, ClientsSpec, Day, GoalSpec, Incident, KeysSpec, ListSpec, NetworkSpec, PricesSpec, RulesSpec,
+    Scheduled, TenantSpec,
 };
 use crate::planner::PlannerSpec;
 use crate::time::{Span, Time};
@@ -60,7 +60,7 @@
             clients: self.draw_clients(shares, &mut c),
             keys,
             rules: self.rules(&boxes),
-            limits: self.limits(),
+            limits: self.limits.clone(),
             goal: self.goal(),
             running,
             boxes,
@@ -191,21 +191,6 @@
         }
     }
 
-    fn limits(&self) -> LimitsSpec {
-        let file = &self.limits;
-        LimitsSpec {
-            cancel: file.cancel,
-            probes: file.probes,
-            peers: file.peers,
-            second_copies: file.second_copies,
-            retry_after: file.retry_after,
-            max_attempts: file.max_attempts,
-            dial_timeout: file.dial_timeout,
-            probe_timeout: file.probe_timeout,
-            reports: file.reports,
-        }
-    }
-
     fn goal(&self) -> GoalSpec {
         let file = &self.goal;
         GoalSpec {
--- a/crates/model/src/scenario/mod.rs
+++ b/crates/model/src/scenario/mod.rs
@@ -9,7 +9,7 @@
 
 use crate::cache_box::WarmBy;
 use crate::chance::Spread;
-use crate::day::{Effect, Entry};
+use crate::day::{Effect, Entry, LimitsSpec};
 use crate::range::{Bytes, Range};
 use crate::store::Evict;
 use crate::time::Span;
@@ -51,7 +51,7 @@
     /// Figures of the four rules.
     pub rules: RulesFile,
     /// What the deployment allows.
-    pub limits: LimitsFile,
+    pub limits: LimitsSpec,
     /// What a result is made of.
     pub goal: GoalFile,
     /// Kinds of boxes; without any, seven large and five small ones.
@@ -79,7 +79,7 @@
             clients: ClientsFile::default(),
             keys: KeysFile::default(),
             rules: RulesFile::default(),
-            limits: LimitsFile::default(),
+            limits: LimitsSpec::default(),
             goal: GoalFile::default(),
             boxes: vec![BoxKind::default(), BoxKind::small()],
             classes: vec![ClassFile::default(), ClassFile::write()],
@@ -445,46 +445,6 @@
     }
 }
 
-/// What the deployment allows.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
-#[serde(default, deny_unknown_fields)]
-pub struct LimitsFile {
-    /// Attempts may be cancelled.
-    pub cancel: bool,
-    /// Boxes may be probed.
-    pub probes: bool,
-    /// Nodes may message each other.
-    pub peers: bool,
-    /// Two attempts of a request may be out at once.
-    pub second_copies: bool,
-    /// Refusals may carry advice.
-    pub retry_after: bool,
-    /// Attempts for one request.
-    pub max_attempts: u32,
-    /// A connection not up by then fails.
-    pub dial_timeout: Span,
-    /// A probe without an answer by then has failed.
-    pub probe_timeout: Span,
-    /// Load reports come with answers.
-    pub reports: bool,
-}
-
-impl Default for LimitsFile {
-    fn default() -> Self {
-        LimitsFile {
-            cancel: true,
-            probes: true,
-            peers: true,
-            second_copies: true,
-            retry_after: true,
-            max_attempts: 3,
-            dial_timeout: ms(250),
-            probe_timeout: ms(400),
-            reports: true,
-        }
-    }
-}
-
 /// What a result is made of.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/model/src/world/mod.rs
+++ b/crates/model/src/world/mod.rs
@@ -10,8 +10,7 @@
 mod lives;
 mod network;
 
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::VecDeque;
 
 use hallpin_decisions as decisions;
 use hallpin_decisions::{
@@ -21,6 +20,7 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 use slab::Slab;
 
+use crate::agenda::Agenda;
 use crate::cache_box::{BoxAnswer, BoxOut, CacheBox, Job};
 use crate::chance::Chance;
 use crate::clients::{Clients, Reply, Step};
@@ -93,32 +93,6 @@
     KeyChanges,
 }
 
-struct Entered {
-    at: Time,
-    order: u64,
-    due: Due,
-}
-
-impl PartialEq for Entered {
-    fn eq(&self, other: &Self) -> bool {
-        (self.at, self.order) == (other.at, other.order)
-    }
-}
-
-impl Eq for Entered {}
-
-impl PartialOrd for Entered {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Entered {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at, self.order).cmp(&(other.at, other.order))
-    }
-}
-
 /// An attempt on its way, as the network has it.
 struct Flight {
     token: u64,
@@ -184,9 +158,8 @@
     start: Start<'a>,
     sink: S,
     now: Time,
-    order: u64,
     steps: u64,
-    queue: BinaryHeap<Reverse<Entered>>,
+    agenda: Agenda<Due>,
     boxes: Vec<Place>,
     servers: FxHashMap<ServerId, BoxId>,
     planner: Planner,
@@ -288,9 +261,8 @@
             flown: 0,
             messages: FxHashMap::default(),
             next_message: 0,
-            queue: BinaryHeap::new(),
+            agenda: Agenda::default(),
             now: Time::ZERO,
-            order: 0,
             steps: 0,
             actions: Vec::new(),
             outs: Vec::new(),
@@ -402,15 +374,15 @@
 
     /// Plays one event, if one is due before the end; the day is over after the last.
     fn step(&mut self, end: Time) -> bool {
-        match self.queue.pop() {
-            Some(Reverse(Entered { at, due, .. })) if at <= end => {
+        match self.agenda.take_until(end) {
+            Some((at, due)) => {
                 debug_assert!(at >= self.now, "time goes forward");
                 self.now = at;
                 self.steps += 1;
                 self.play(due);
                 true
             }
-            _ => {
+            None => {
                 self.now = end;
                 self.record(Event::DayOver);
                 false
@@ -424,9 +396,7 @@
 
     /// What should have happened by now happens next.
     fn enter(&mut self, at: Time, due: Due) {
-        let at = at.max(self.now);
-        self.order += 1;
-        self.queue.push(Reverse(Entered { at, order: self.order, due }));
+        self.agenda.enter(at.max(self.now), due);
     }
 
     fn after(&mut self, span: Span, due: Due) {
