Let baselines scale to a thousand boxes, and let the omniscient one see the planner

Change: picks look at the boxes through a view; ring and lookup table are built once a list and shared by its nodes; the omniscient policy is told the planner's state and asks nothing of one that could not answer in time.

--- /dev/null
+++ b/crates/baselines/src/boxes.rs
@@ -0,0 +1,158 @@
+//! The boxes as a textbook policy knows them: the list, its own requests in flight, and which it leaves alone.
+
+use hallpin_decisions::{RosterEntry, RosterNews, Seconds, ServerId, ServerState};
+use hallpin_model::policy::{TrueBox, TruePlanner, Truth};
+use rustc_hash::FxHashMap;
+
+/// Failures in a row after which a box is left alone, and for how long.
+const FAILURES: u32 = 3;
+const ALONE: Seconds = 5.0;
+
+#[derive(Default)]
+struct Listed {
+    entry: RosterEntry,
+    in_flight: u32,
+    failures: u32,
+    alone_until: Seconds,
+}
+
+/// All boxes that were ever listed; a box keeps its number.
+#[derive(Default)]
+pub(crate) struct Boxes {
+    all: Vec<Listed>,
+    numbers: FxHashMap<ServerId, usize>,
+    /// Those to pick from, in the order of their ids.
+    ready: Vec<usize>,
+    in_flight: u32,
+    truth: Truth,
+    /// Where each box stands in the truth, which always has them in one order.
+    true_at: FxHashMap<ServerId, usize>,
+}
+
+impl Boxes {
+    /// Takes news of the list; false where they tell nothing.
+    pub(crate) fn listed(&mut self, news: RosterNews) -> bool {
+        let (whole, entries) = match news {
+            RosterNews::Failed => return false,
+            RosterNews::Cached(entries) | RosterNews::Full(entries) => (true, entries),
+            RosterNews::Delta(entries) => (false, entries),
+        };
+        if whole {
+            self.all.iter_mut().for_each(|l| l.entry.state = ServerState::Gone);
+        }
+        for entry in entries {
+            let next = self.all.len();
+            let number = *self.numbers.entry(entry.server.clone()).or_insert(next);
+            if number == next {
+                self.all.push(Listed::default());
+            }
+            self.all[number].entry = entry;
+        }
+        self.ready = (0..self.all.len()).filter(|n| self.all[*n].entry.state == ServerState::Ready).collect();
+        self.ready.sort_unstable_by(|a, b| self.all[*a].entry.server.cmp(&self.all[*b].entry.server));
+        true
+    }
+
+    pub(crate) fn id(&self, number: usize) -> &ServerId {
+        &self.all[number].entry.server
+    }
+
+    pub(crate) fn sent(&mut self, number: usize) {
+        self.all[number].in_flight += 1;
+        self.in_flight += 1;
+    }
+
+    /// A request has left a box, or nobody waits for it any more.
+    pub(crate) fn left(&mut self, number: usize) {
+        self.all[number].in_flight -= 1;
+        self.in_flight -= 1;
+    }
+
+    pub(crate) fn answered(&mut self, number: usize) {
+        self.all[number].failures = 0;
+    }
+
+    pub(crate) fn failed(&mut self, number: usize, now: Seconds) {
+        let listed = &mut self.all[number];
+        listed.failures += 1;
+        if listed.failures >= FAILURES {
+            (listed.failures, listed.alone_until) = (0, now + ALONE);
+        }
+    }
+
+    pub(crate) fn see(&mut self, truth: Truth) {
+        if self.true_at.len() != truth.boxes.len() {
+            self.true_at = truth.boxes.iter().enumerate().map(|(at, b)| (b.server.clone(), at)).collect();
+        }
+        self.truth = truth;
+    }
+
+    /// Those that a request may pick from, which has tried some.
+    pub(crate) fn view<'a>(&'a self, now: Seconds, tried: &'a [usize]) -> View<'a> {
+        View { boxes: self, now, tried }
+    }
+}
+
+/// The boxes as one request finds them. Indices are into the ready ones as last listed, in the order of their ids.
+#[derive(Clone, Copy)]
+pub struct View<'a> {
+    boxes: &'a Boxes,
+    now: Seconds,
+    tried: &'a [usize],
+}
+
+impl View<'_> {
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.boxes.ready.len()
+    }
+
+    /// There is none.
+    pub fn is_empty(&self) -> bool {
+        self.boxes.ready.is_empty()
+    }
+
+    fn listed(&self, index: usize) -> &Listed {
+        &self.boxes.all[self.boxes.ready[index]]
+    }
+
+    /// The number by which all lists know it.
+    pub(crate) fn number(&self, index: usize) -> usize {
+        self.boxes.ready[index]
+    }
+
+    /// Its id.
+    pub fn id(&self, index: usize) -> &ServerId {
+        &self.listed(index).entry.server
+    }
+
+    /// Its listed size.
+    pub fn weight(&self, index: usize) -> f64 {
+        self.listed(index).entry.weight
+    }
+
+    /// Requests of this node that it has.
+    pub fn in_flight(&self, index: usize) -> u32 {
+        self.listed(index).in_flight
+    }
+
+    /// Requests of this node that all boxes have.
+    pub fn all_in_flight(&self) -> u32 {
+        self.boxes.in_flight
+    }
+
+    /// It may be sent this request: it is not being left alone and has not been tried.
+    pub fn is_open(&self, index: usize) -> bool {
+        self.now >= self.listed(index).alone_until && !self.tried.contains(&self.number(index))
+    }
+
+    /// As it truly is, where the policy is shown that.
+    pub fn truth(&self, index: usize) -> Option<&TrueBox> {
+        self.boxes.truth.boxes.get(*self.boxes.true_at.get(self.id(index))?)
+    }
+
+    /// The planner as it truly is, where the policy is shown that.
+    pub fn planner(&self) -> TruePlanner {
+        self.boxes.truth.planner
+    }
+}
--- a/crates/baselines/src/lib.rs
+++ b/crates/baselines/src/lib.rs
@@ -8,15 +8,21 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod boxes;
 mod pick;
 mod textbook;
 
 use hallpin_decisions::{Settings, SettingsError};
 use hallpin_model::policy::{module, Policy};
 
-pub use pick::{BoundedLoad, Candidate, LeastOfTwo, Maglev, Omniscient, Pick, Random, Rendezvous};
+pub use boxes::View;
+use pick::Shared;
+pub use pick::{BoundedLoad, LeastOfTwo, Maglev, Omniscient, Pick, Random, Rendezvous, Wanted};
 pub use textbook::Textbook;
 
+/// Makes a node's policy from its settings and seed; an error where the settings make no sense.
+pub type Starter = dyn Fn(Settings, u64) -> Result<Box<dyn Policy>, SettingsError>;
+
 /// Which policy decides.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Kind {
@@ -61,26 +67,25 @@
         }
     }
 
-    /// A node's policy of this kind.
-    ///
-    /// # Errors
-    /// Where the settings make no sense.
-    pub fn start(self, settings: Settings, seed: u64) -> Result<Box<dyn Policy>, SettingsError> {
-        fn textbook<P: Pick + 'static>(
-            pick: P,
-            settings: Settings,
-            seed: u64,
-        ) -> Result<Box<dyn Policy>, SettingsError> {
-            Ok(Box::new(Textbook::new(pick, settings, seed)?))
+    /// What starts the nodes of a day with this policy; tables that are equal at all nodes are shared among them.
+    pub fn starter(self) -> Box<Starter> {
+        fn textbook<P: Pick + 'static>(pick: impl Fn() -> P + 'static) -> Box<Starter> {
+            Box::new(move |settings, seed| Ok(Box::new(Textbook::new(pick(), settings, seed)?)))
         }
         match self {
-            Kind::Module => module(settings, seed),
-            Kind::Random => textbook(Random, settings, seed),
-            Kind::LeastOfTwo => textbook(LeastOfTwo, settings, seed),
-            Kind::Rendezvous => textbook(Rendezvous, settings, seed),
-            Kind::BoundedLoad => textbook(BoundedLoad::default(), settings, seed),
-            Kind::Maglev => textbook(Maglev::default(), settings, seed),
-            Kind::Omniscient => textbook(Omniscient, settings, seed),
+            Kind::Module => Box::new(module),
+            Kind::Random => textbook(|| Random),
+            Kind::LeastOfTwo => textbook(|| LeastOfTwo),
+            Kind::Rendezvous => textbook(Rendezvous::default),
+            Kind::BoundedLoad => {
+                let shared = Shared::default();
+                textbook(move || BoundedLoad::new(shared.clone()))
+            }
+            Kind::Maglev => {
+                let shared = Shared::default();
+                textbook(move || Maglev::new(shared.clone()))
+            }
+            Kind::Omniscient => textbook(Omniscient::default),
         }
     }
 }
--- a/crates/baselines/src/textbook.rs
+++ b/crates/baselines/src/textbook.rs
@@ -1,36 +1,33 @@
 //! The life of a request that all textbook policies share.
 
-use std::collections::BTreeMap;
-
 use hallpin_decisions::{
-    Action, AttemptId, Class, Effect, Event, Key, NewRequest, Outcome, RequestId, RosterEntry, RosterNews,
-    Seconds, ServerId, ServerState, Settings, SettingsError, Status, TimerToken,
+    Action, AttemptId, Class, Effect, Event, Key, NewRequest, Outcome, RequestId, Seconds, Settings,
+    SettingsError, Status, TimerToken,
 };
-use hallpin_model::policy::{Policy, TrueBox};
+use hallpin_model::policy::{Policy, Truth};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use rustc_hash::FxHashMap;
 
-use crate::pick::{Candidate, Pick};
+use crate::boxes::Boxes;
+use crate::pick::{Pick, Wanted};
 
-/// Failures in a row after which a box is left alone, and for how long.
-const FAILURES: u32 = 3;
-const ALONE: Seconds = 5.0;
+/// An attempt.
+#[derive(Clone, Copy)]
+struct Tried {
+    sent: Seconds,
+    /// It may have run; `None` while it is out.
+    ran: Option<bool>,
+}
 
 struct Live {
     class: usize,
     key: Key,
+    write: bool,
     deadline: Seconds,
-    /// Where its attempts went, when, and whether each may have run; `None` while it is out.
-    tried: Vec<(ServerId, Seconds, Option<bool>)>,
-}
-
-#[derive(Default)]
-struct Listed {
-    entry: RosterEntry,
-    in_flight: u32,
-    failures: u32,
-    alone_until: Seconds,
+    tried: Vec<Tried>,
+    /// The numbers of the boxes that its attempts went to.
+    at: Vec<usize>,
 }
 
 /// A textbook policy: picks a box, and another one where that fails.
@@ -38,9 +35,7 @@
     pick: P,
     settings: Settings,
     random: Pcg64Mcg,
-    listed: BTreeMap<ServerId, Listed>,
-    ready: Vec<ServerId>,
-    truth: FxHashMap<ServerId, TrueBox>,
+    boxes: Boxes,
     requests: FxHashMap<RequestId, Live>,
 }
 
@@ -51,49 +46,8 @@
     /// Where the settings make no sense.
     pub fn new(pick: P, settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.validate()?;
-        Ok(Textbook {
-            pick,
-            settings,
-            random: Pcg64Mcg::seed_from_u64(seed),
-            listed: BTreeMap::new(),
-            ready: Vec::new(),
-            truth: FxHashMap::default(),
-            requests: FxHashMap::default(),
-        })
-    }
-
-    fn roster(&mut self, news: RosterNews) {
-        let (whole, entries) = match news {
-            RosterNews::Failed => return,
-            RosterNews::Cached(entries) | RosterNews::Full(entries) => (true, entries),
-            RosterNews::Delta(entries) => (false, entries),
-        };
-        if whole {
-            self.listed.values_mut().for_each(|l| l.entry.state = ServerState::Gone);
-        }
-        for entry in entries {
-            let listed = self.listed.entry(entry.server.clone()).or_default();
-            listed.entry = entry;
-        }
-        self.listed.retain(|_, l| l.entry.state != ServerState::Gone || l.in_flight > 0);
-        let ready = self.listed.iter().filter(|(_, l)| l.entry.state == ServerState::Ready);
-        self.ready = ready.map(|(id, _)| id.clone()).collect();
-        let candidates = self.candidates(0.0, &[]);
-        self.pick.listed(&candidates);
-    }
-
-    fn candidates(&self, now: Seconds, tried: &[(ServerId, Seconds, Option<bool>)]) -> Vec<Candidate> {
-        let candidate = |id: &ServerId| {
-            let listed = &self.listed[id];
-            Candidate {
-                server: id.clone(),
-                weight: listed.entry.weight,
-                in_flight: listed.in_flight,
-                open: now >= listed.alone_until && !tried.iter().any(|(server, ..)| server == id),
-                truth: self.truth.get(id).cloned(),
-            }
-        };
-        self.ready.iter().map(candidate).collect()
+        let random = Pcg64Mcg::seed_from_u64(seed);
+        Ok(Textbook { pick, settings, random, boxes: Boxes::default(), requests: FxHashMap::default() })
     }
 
     fn class(&self, live: &Live) -> Option<&Class> {
@@ -104,7 +58,7 @@
     fn place(&mut self, now: Seconds, id: RequestId, actions: &mut Vec<Action>) {
         let Some(live) = self.requests.get(&id) else { return };
         let (Some(class), round) = (self.class(live), self.settings.round) else { return };
-        let ran = live.tried.iter().filter(|(.., ran)| *ran != Some(false)).map(|(_, sent, _)| *sent);
+        let ran = live.tried.iter().filter(|t| t.ran != Some(false)).map(|t| t.sent);
         let first = ran.fold(f64::INFINITY, f64::min);
         let may = match class.effect {
             Effect::Safe => true,
@@ -113,97 +67,90 @@
         };
         let left = live.deadline - now - 2.0 * round;
         let more = live.tried.len() < self.settings.limits.max_attempts as usize;
-        let (key, candidates) = (live.key, self.candidates(now, &live.tried));
+        let wanted = Wanted { key: live.key, write: live.write, left };
+        let view = self.boxes.view(now, &live.at);
         let picked =
-            if may && more && left > 0.0 { self.pick.pick(key, &candidates, &mut self.random) } else { None };
-        let Some(picked) = picked else { return self.end(id, actions) };
-        let server = candidates[picked].server.clone();
+            if may && more && left > 0.0 { self.pick.pick(wanted, view, &mut self.random) } else { None };
+        let Some(number) = picked.map(|index| view.number(index)) else { return self.end(id, actions) };
         // Waits for half of the time that is left, so that another can still be tried.
         let timeout = Some(left / 2.0).filter(|t| *t > round).or(Some(left));
-        actions.push(Action::Send { request: id, server: server.clone(), timeout });
-        if let Some(listed) = self.listed.get_mut(&server) {
-            listed.in_flight += 1;
-        }
+        actions.push(Action::Send { request: id, server: self.boxes.id(number).clone(), timeout });
+        self.boxes.sent(number);
         if let Some(live) = self.requests.get_mut(&id) {
-            live.tried.push((server, now, None));
+            live.tried.push(Tried { sent: now, ran: None });
+            live.at.push(number);
         }
     }
 
     fn end(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(live) = self.requests.get(&id) else { return };
-        let ran = live.tried.iter().any(|(.., ran)| *ran != Some(false));
+        let ran = live.tried.iter().any(|t| t.ran != Some(false));
         let unsafe_class = self.class(live).is_none_or(|c| c.effect == Effect::Unsafe);
         if ran && unsafe_class {
             actions.push(Action::Fail(id));
         } else {
             actions.push(Action::Refuse { request: id, retry_after: None });
         }
-        self.requests.remove(&id);
+        self.forget(id);
     }
 
     fn request(&mut self, now: Seconds, new: NewRequest, actions: &mut Vec<Action>) {
         let class = new.class.map_or(0, |c| c.0);
         let key = new.key.unwrap_or(Key(new.id.0));
         let deadline = now + new.left;
-        self.requests.insert(new.id, Live { class, key, deadline, tried: Vec::new() });
+        let live = Live { class, key, write: new.write, deadline, tried: Vec::new(), at: Vec::new() };
+        self.requests.insert(new.id, live);
         let after = (new.left - 2.0 * self.settings.round).max(0.0);
         actions.push(Action::SetTimer { token: TimerToken(new.id.0), after });
         self.place(now, new.id, actions);
     }
 
-    fn outcome(
-        &mut self,
-        now: Seconds,
-        outcome: Outcome,
-        server: Option<ServerId>,
-        actions: &mut Vec<Action>,
-    ) {
-        if let Some(listed) = server.and_then(|server| self.listed.get_mut(&server)) {
-            listed.in_flight = listed.in_flight.saturating_sub(1);
-            match outcome.status {
-                Status::Success => listed.failures = 0,
-                Status::Unreachable | Status::TimedOut | Status::Broken => listed.failures += 1,
-                _ => {}
-            }
-            if listed.failures >= FAILURES {
-                (listed.failures, listed.alone_until) = (0, now + ALONE);
-            }
+    fn outcome(&mut self, now: Seconds, outcome: &Outcome, actions: &mut Vec<Action>) {
+        // Of a request that has ended, the attempts are counted no more.
+        let Some(number) = self.ended(outcome.request, outcome.attempt, outcome.status) else { return };
+        self.boxes.left(number);
+        match outcome.status {
+            Status::Success => self.boxes.answered(number),
+            Status::Unreachable | Status::TimedOut | Status::Broken => self.boxes.failed(number, now),
+            _ => {}
         }
         if outcome.finished {
-            self.requests.remove(&outcome.request);
+            self.forget(outcome.request);
         } else {
             self.place(now, outcome.request, actions);
         }
     }
 
-    /// Notes how an attempt ended, and says where it had gone.
-    fn ended(&mut self, request: RequestId, attempt: AttemptId, status: Status) -> Option<ServerId> {
+    /// Notes how an attempt that was out ended, and says where it had gone.
+    fn ended(&mut self, request: RequestId, attempt: AttemptId, status: Status) -> Option<usize> {
         let live = self.requests.get_mut(&request)?;
-        let tried = live.tried.get_mut(attempt.0 as usize)?;
-        tried.2 = Some(status.may_have_run());
-        Some(tried.0.clone())
+        let tried = live.tried.get_mut(attempt.0 as usize).filter(|t| t.ran.is_none())?;
+        tried.ran = Some(status.may_have_run());
+        live.at.get(attempt.0 as usize).copied()
+    }
+
+    /// Attempts that nobody waits for are not counted any more; their outcomes find no request.
+    fn forget(&mut self, id: RequestId) {
+        let Some(live) = self.requests.remove(&id) else { return };
+        let out = live.tried.iter().zip(&live.at).filter(|(t, _)| t.ran.is_none());
+        out.for_each(|(_, number)| self.boxes.left(*number));
     }
 }
 
 impl<P: Pick> Policy for Textbook<P> {
     fn handle(&mut self, now: Seconds, event: Event, actions: &mut Vec<Action>) {
         match event {
-            Event::Roster(news) => self.roster(news),
-            Event::Request(new) => self.request(now, new, actions),
-            Event::Outcome(outcome) => {
-                let server = self.ended(outcome.request, outcome.attempt, outcome.status);
-                self.outcome(now, outcome, server, actions);
-            }
-            // Its time is nearly up, or nobody waits.
-            Event::Timer(TimerToken(id)) => {
-                let out = self.requests.get(&RequestId(id)).map(|live| live.tried.clone());
-                self.free(out);
-                self.end(RequestId(id), actions);
-            }
-            Event::Withdrawn(id) => {
-                let out = self.requests.remove(&id).map(|live| live.tried);
-                self.free(out);
+            Event::Roster(news) => {
+                if self.boxes.listed(news) {
+                    self.pick.listed(self.boxes.view(now, &[]));
+                }
             }
+            Event::Request(new) => self.request(now, new, actions),
+            Event::Outcome(outcome) => self.outcome(now, &outcome, actions),
+            // Its time is nearly up.
+            Event::Timer(TimerToken(id)) => self.end(RequestId(id), actions),
+            // Nobody waits.
+            Event::Withdrawn(id) => self.forget(id),
             Event::StreamStarted { .. } | Event::Probed { .. } | Event::Message { .. } => {}
         }
     }
@@ -212,24 +159,15 @@
         self.pick.is_omniscient()
     }
 
-    fn see(&mut self, boxes: Vec<TrueBox>) {
-        self.truth = boxes.into_iter().map(|b| (b.server.clone(), b)).collect();
-    }
-}
-
-impl<P> Textbook<P> {
-    /// Attempts that nobody waits for are not counted any more; their outcomes find no request.
-    fn free(&mut self, tried: Option<Vec<(ServerId, Seconds, Option<bool>)>>) {
-        for (server, _, _) in tried.into_iter().flatten().filter(|(.., ran)| ran.is_none()) {
-            if let Some(listed) = self.listed.get_mut(&server) {
-                listed.in_flight = listed.in_flight.saturating_sub(1);
-            }
-        }
+    fn see(&mut self, truth: Truth) {
+        self.boxes.see(truth);
     }
 }
 
 #[cfg(test)]
 mod tests {
+    use hallpin_decisions::{RosterEntry, RosterNews, ServerId, ServerState};
+
     use super::*;
     use crate::Kind;
 
@@ -249,7 +187,7 @@
     }
 
     fn homes(kind: Kind, n: usize) -> Vec<ServerId> {
-        let mut policy = kind.start(settings(), 1).unwrap();
+        let mut policy = kind.starter()(settings(), 1).unwrap();
         let mut actions = Vec::new();
         policy.handle(0.0, Event::Roster(RosterNews::Full(fleet(n))), &mut actions);
         let home = |key: u64| {
@@ -292,7 +230,7 @@
     #[test]
     fn all_keep_a_request_alive_through_a_failure_and_end_it_once() {
         for kind in [Kind::Random, Kind::LeastOfTwo, Kind::Rendezvous, Kind::BoundedLoad, Kind::Maglev] {
-            let mut policy = kind.start(settings(), 1).unwrap();
+            let mut policy = kind.starter()(settings(), 1).unwrap();
             let mut actions = Vec::new();
             policy.handle(0.0, Event::Roster(RosterNews::Full(fleet(5))), &mut actions);
             let new = NewRequest {
--- a/crates/fleet/src/virtual_time.rs
+++ b/crates/fleet/src/virtual_time.rs
@@ -58,17 +58,17 @@
 pub fn play(scenario: &Scenario, seed: u64, policy: Kind, trace: Option<&Path>) -> Result<Played, PlayError> {
     let day = scenario.draw(seed)?;
     let began = Instant::now();
-    let start = |settings, seed| policy.start(settings, seed);
+    let start = policy.starter();
     let mut referee = Referee::new(&day);
     let events = match trace {
-        None => World::new(&day, &start, |at: Time, event: &Event| referee.record(at, event))?.run().0,
+        None => World::new(&day, &*start, |at: Time, event: &Event| referee.record(at, event))?.run().0,
         Some(path) => {
             let mut file = TraceFile::create(path)?;
             let sink = |at: Time, event: &Event| {
                 file.record(at, event);
                 referee.record(at, event);
             };
-            let events = World::new(&day, &start, sink)?.run().0;
+            let events = World::new(&day, &*start, sink)?.run().0;
             file.finish()?;
             events
         }
--- a/crates/model/src/planner.rs
+++ b/crates/model/src/planner.rs
@@ -7,6 +7,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::chance::{Chance, Spread};
+use crate::policy::TruePlanner;
 use crate::store::KeyId;
 use crate::time::{Span, Time};
 
@@ -143,6 +144,13 @@
         self.down_until.is_some() || self.silenced > 0
     }
 
+    /// As it is, for a policy that may know: what waits goes before a new call.
+    pub fn truth(&self) -> TruePlanner {
+        let time = self.spec.time.as_secs() * self.slowness;
+        let ahead = self.waiting.len() as f64 / f64::from(self.spec.places.max(1));
+        TruePlanner { up: !self.is_down(), answers_in: time * (1.0 + ahead) }
+    }
+
     /// It was overdriven and has stopped, of its own accord.
     pub fn is_overdriven(&self) -> bool {
         self.down_until.is_some()
--- a/crates/model/src/policy.rs
+++ b/crates/model/src/policy.rs
@@ -19,18 +19,36 @@
     pub keeps: bool,
 }
 
+/// The planner as it truly is.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TruePlanner {
+    /// It answers.
+    pub up: bool,
+    /// About when a call made now would be answered.
+    pub answers_in: Seconds,
+}
+
+/// The world as it truly is.
+#[derive(Clone, Debug, Default)]
+pub struct Truth {
+    /// All boxes of the day, always in the same order.
+    pub boxes: Vec<TrueBox>,
+    /// The planner.
+    pub planner: TruePlanner,
+}
+
 /// Decides for one node: events in, actions out, as [`Balancer`] does.
 pub trait Policy: Send {
     /// Takes one event and adds what is to be done.
     fn handle(&mut self, now: Seconds, event: Event, actions: &mut Vec<Action>);
 
-    /// Whether it is shown the boxes as they are before each request.
+    /// Whether it is shown the world as it is before each request.
     fn is_omniscient(&self) -> bool {
         false
     }
 
-    /// The boxes as they are, where it asked for them.
-    fn see(&mut self, _boxes: Vec<TrueBox>) {}
+    /// The world as it is, where it asked for that.
+    fn see(&mut self, _truth: Truth) {}
 }
 
 impl Policy for Balancer {
--- a/crates/model/src/world/incidents.rs
+++ b/crates/model/src/world/incidents.rs
@@ -98,7 +98,7 @@
         self.after(leave + LEAVE, Due::NodeStarts(node));
     }
 
-    pub(super) fn true_boxes(&mut self, node: NodeId, key: KeyId) -> Vec<TrueBox> {
+    pub(super) fn truth(&mut self, node: NodeId, key: KeyId) -> Truth {
         let (now, version) = (self.now, self.planner.version(key));
         let depot = self.hosts[node].depot;
         let parted: Vec<bool> = self.day.boxes.iter().map(|spec| self.is_parted(depot, spec.depot)).collect();
@@ -110,6 +110,7 @@
             room: (place.cache.spec.slots + place.cache.spec.waiting) as usize,
             keeps: place.cache.keeps(now, key, version),
         };
-        self.boxes.iter_mut().enumerate().map(seen).collect()
+        let boxes = self.boxes.iter_mut().enumerate().map(seen).collect();
+        Truth { boxes, planner: self.planner.truth() }
     }
 }
--- a/crates/model/src/world/mod.rs
+++ b/crates/model/src/world/mod.rs
@@ -28,7 +28,7 @@
 use crate::keys::Keys;
 use crate::list::{BoxId, List, Listing, News, Phase};
 use crate::planner::{Ask, Planner, Told};
-use crate::policy::{Policy, Start, TrueBox};
+use crate::policy::{Policy, Start, TrueBox, Truth};
 use crate::store::KeyId;
 use crate::time::{Span, Time};
 use crate::trace::{Ended, Event, How, Sink, TryId};
@@ -311,8 +311,8 @@
                 work: None,
             };
             if policies[node].is_omniscient() {
-                let boxes = self.true_boxes(node, key);
-                policies[node].see(boxes);
+                let truth = self.truth(node, key);
+                policies[node].see(truth);
             }
             actions.clear();
             policies[node].handle(now, decisions::Event::Request(request), &mut actions);
@@ -545,8 +545,8 @@
         self.hosts[node].tries.insert(id, live);
         self.enter(deadline.back(Span(2_500)), Due::Backstop { node, life, id });
         if self.hosts[node].policy.is_omniscient() {
-            let boxes = self.true_boxes(node, key);
-            self.hosts[node].policy.see(boxes);
+            let truth = self.truth(node, key);
+            self.hosts[node].policy.see(truth);
         }
         let request = NewRequest {
             id: RequestId(id),
