Set one timer for all that is due at a node, in place of two for each request

Need: timers cannot be taken back; each request left two that rang long after its answer, in the node and in the model.

Change: the module keeps what is due (give up, attempt late) in order, takes it out when a request ends, and asks for a timer for what is due first. At the same instant giving up goes before a hedged request.

--- a/crates/decisions/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -79,8 +79,9 @@
 const KIND_MEMORY: f64 = 50.0;
 
 const TICK_TOKEN: TimerToken = TimerToken(0);
-/// Set in the timers of hedged requests; request ids are below it.
-const HEDGE_BIT: u64 = 1 << 60;
+const DUE_TOKEN: TimerToken = TimerToken(1);
+/// What is due within this is due now: timers ring that little early where shells count in microseconds.
+const EARLY: Seconds = 1e-5;
 
 // ---- Ring ---------------------------------------------------------------------------------------------
 
@@ -206,6 +207,9 @@
     work: Seconds,
     /// Past its tenant's share at this node.
     over_quota: bool,
+    /// When to give up on it, and when its last attempt is late; 0 for never.
+    give_up: Seconds,
+    late: Seconds,
     /// Its first place: one on for each time that its key was asked for of late.
     first: u64,
     attempts: Vec<Attempt>,
@@ -229,6 +233,13 @@
     Server,
 }
 
+/// A request's time is nearly up, or its attempt is late.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    GiveUp,
+    Late,
+}
+
 /// Held requests by what for, each in turn.
 type Held = [VecDeque<RequestId>; 3];
 
@@ -288,6 +299,9 @@
     late: f64,
     fetch_limit: Limit,
     held: Held,
+    /// What is to be looked at when, as bits of a time (their order is that of the times), and the timer set.
+    due: BTreeSet<(u64, Due, RequestId)>,
+    armed: Option<Seconds>,
     retry_tokens: f64,
     /// Servers that are out, in order of trial.
     ejected: VecDeque<ServerId>,
@@ -382,9 +396,7 @@
             Event::Outcome(outcome) => self.on_outcome(outcome),
             Event::Withdrawn(id) => self.on_finished(id),
             Event::Timer(TICK_TOKEN) => self.on_tick(),
-            Event::Timer(TimerToken(t)) if t & HEDGE_BIT != 0 => self.on_hedge(RequestId(t ^ HEDGE_BIT)),
-            // A request's time is nearly up.
-            Event::Timer(TimerToken(t)) => self.end(RequestId(t - 1)),
+            Event::Timer(_) => self.on_due(),
             Event::Probed { server, status: Status::Success } => self.readmit(&server),
             Event::Probed { .. } | Event::Message { .. } => {}
         }
@@ -418,6 +430,29 @@
         self.dispatch(usize::MAX);
     }
 
+    /// Sets the timer for what is due first. Danger: timers cannot be taken back; with two for each request
+    /// most rang for one long answered, and there were as many as a deadline's time had requests.
+    fn arm(&mut self) {
+        let Some(at) = self.due.first().map(|(at, ..)| f64::from_bits(*at)) else { return };
+        if self.armed.is_none_or(|armed| at < armed) {
+            self.armed = Some(at);
+            self.out.push(Action::SetTimer { token: DUE_TOKEN, after: (at - self.now).max(0.0) });
+        }
+    }
+
+    fn on_due(&mut self) {
+        let now = self.now + EARLY;
+        self.armed = self.armed.filter(|at| *at > now);
+        while self.due.first().is_some_and(|(at, ..)| f64::from_bits(*at) <= now) {
+            match self.due.pop_first() {
+                Some((_, Due::GiveUp, id)) => self.end(id),
+                Some((_, Due::Late, id)) => self.on_hedge(id),
+                None => {}
+            }
+        }
+        self.arm();
+    }
+
     /// Points for the servers listed, by weight where it is told; forgets servers that are gone.
     fn refresh_members(&mut self) {
         let by_weight = matches!(self.settings.weights, WeightSource::Nominal | WeightSource::Rough);
@@ -567,6 +602,8 @@
         }
         let key = new.key.unwrap_or(Key(hash_key(Key(new.id.0), 0)));
         let unknown = self.settings.classes.len() - 1;
+        // Answered a round ahead of the client's deadline, whatever else happens.
+        let give_up = self.now + (new.left - 2.0 * self.settings.round).max(0.0);
         let request = Request {
             class: new.class.map_or(unknown, |c| c.0.min(unknown)),
             key,
@@ -575,14 +612,14 @@
             deadline: self.now + new.left,
             work: new.work.unwrap_or(0.0),
             over_quota: self.over_quota(new.tenant),
+            give_up,
             first: self.seen(key),
             ..Request::default()
         };
-        // Answered a round ahead of the client's deadline, whatever else happens.
-        let wake = (new.left - 2.0 * self.settings.round).max(0.0);
-        self.out.push(Action::SetTimer { token: TimerToken(new.id.0 + 1), after: wake });
+        self.due.insert((give_up.to_bits(), Due::GiveUp, new.id));
         self.requests.insert(new.id, request);
         self.place(new.id);
+        self.arm();
     }
 
     /// How often a key was asked for among the last requests. Danger: at a home far too small for it, a hot
@@ -703,9 +740,11 @@
         let left = r.deadline - self.now - 2.0 * self.settings.round;
         let timeout = Some(left.max(self.settings.round));
         self.out.push(Action::Send { request: id, server: server.clone(), timeout });
-        let patience = self.requests.get(&id).map(|r| self.patience(r));
-        let token = TimerToken(HEDGE_BIT | id.0);
-        self.out.extend(patience.map(|after| Action::SetTimer { token, after }));
+        let late = self.requests.get(&id).map_or(0.0, |r| self.now + self.patience(r));
+        let last = self.requests.get_mut(&id).map_or(0.0, |r| std::mem::replace(&mut r.late, late));
+        self.due.remove(&(last.to_bits(), Due::Late, id));
+        self.due.insert((late.to_bits(), Due::Late, id));
+        self.arm();
         self.servers.entry(server.clone()).and_modify(|s| s.in_flight += 1);
     }
 
@@ -724,7 +763,8 @@
         let due = last.sent + self.patience(r) - self.settings.round;
         let late = last.status.is_none() && !excused && self.now >= due;
         let repeats = self.settings.limits.second_copies && self.class(r).effect != Effect::Unsafe;
-        if r.ended || r.streaming || !late || !repeats {
+        let over = r.give_up <= self.now + EARLY;
+        if r.ended || r.streaming || over || !late || !repeats {
             return;
         }
         let hedge = self.retry_tokens >= 1.0;
@@ -750,6 +790,8 @@
     fn on_finished(&mut self, id: RequestId) {
         let cancel = self.settings.limits.cancel;
         let Some(r) = self.requests.get_mut(&id) else { return };
+        self.due.remove(&(r.give_up.to_bits(), Due::GiveUp, id));
+        self.due.remove(&(r.late.to_bits(), Due::Late, id));
         if !std::mem::replace(&mut r.ended, true) && cancel && !r.streaming {
             let out = (0..).zip(&r.attempts).filter(|(_, a)| a.status.is_none());
             self.out.extend(out.map(|(n, _)| Action::Cancel { request: id, attempt: AttemptId(n) }));
--- a/crates/decisions/tests/rules.rs
+++ b/crates/decisions/tests/rules.rs
@@ -117,7 +117,7 @@
         let mut node = Node::with(settings(), 1, fleet(4));
         node.request(NewRequest { class: Some(class), ..read(1, 1) });
         node.now += 1.0 - 0.01;
-        let actions = node.event(Event::Timer(TimerToken(2)));
+        let actions = node.event(Event::Timer(TimerToken(1)));
         assert!(refused(&actions) || failed(&actions), "{class:?}");
         assert!(sent(&actions).is_empty());
         // A batch that ran late brings the time-out and the timer after the end: both are ignored.
@@ -155,7 +155,47 @@
     node.request(read(1, 1));
     node.event(Event::StreamStarted { request: RequestId(1), attempt: AttemptId(0) });
     node.now += 5.0;
-    assert!(node.event(Event::Timer(TimerToken(2))).is_empty());
+    assert!(node.event(Event::Timer(TimerToken(1))).is_empty());
+}
+
+/// A thousand requests that are answered leave a timer or two, not two thousand; one that is not answered is given up
+/// on in time by the timers that were asked for, and by nothing else.
+#[test]
+fn timers_do_not_outlive_their_requests_and_ring_in_time() {
+    let mut node = Node::with(settings(), 1, fleet(8));
+    let mut timers: Vec<Seconds> = Vec::new();
+    let note = |timers: &mut Vec<Seconds>, now: Seconds, actions: &[Action]| {
+        timers.extend(actions.iter().filter_map(|a| match a {
+            Action::SetTimer { token: TimerToken(1), after } => Some(now + after),
+            _ => None,
+        }));
+    };
+    for n in 1..=1000 {
+        let actions = node.request(read(n, n % 50));
+        note(&mut timers, node.now, &actions);
+        node.now += 0.0001;
+        let actions = node.serve(n);
+        note(&mut timers, node.now, &actions);
+    }
+    // A few more than two, as the time from which an attempt is late falls while the node learns.
+    assert!((1..=12).contains(&timers.len()), "{} timers", timers.len());
+    let actions = node.request(read(2000, 1));
+    note(&mut timers, node.now, &actions);
+    let asked = node.now;
+    let mut ended = None;
+    while let Some(at) = timers.iter().copied().reduce(f64::min) {
+        timers.retain(|t| *t != at);
+        // A shell that counts in microseconds.
+        node.now = (at * 1e6).floor() / 1e6;
+        let actions = node.event(Event::Timer(TimerToken(1)));
+        note(&mut timers, node.now, &actions);
+        if refused(&actions) || failed(&actions) {
+            ended = Some(node.now - asked);
+        }
+        assert!(timers.len() < 13 && node.now < asked + 5.0);
+    }
+    let ended = ended.expect("an end");
+    assert!((0.98..=0.99001).contains(&ended), "after {ended} s");
 }
 
 // ---- Rule two ----
@@ -675,7 +715,7 @@
             node.serve(90_001);
         }
         node.now += 0.6;
-        out.extend(node.event(Event::Timer(TimerToken((1 << 60) | 90_000))));
+        out.extend(node.event(Event::Timer(TimerToken(1))));
         sent(&out).len()
     };
     assert_eq!(hedged(6, false, READ), 1);
