--- a/crates/fleet/src/sockets/mod.rs
+++ b/crates/fleet/src/sockets/mod.rs
@@ -16,6 +16,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::time::Duration;
 
 use hallpin_baselines::Kind;
 use hallpin_model::day::{Day, Incident, NodeId};
@@ -114,13 +115,42 @@
         tokio::task::spawn_local(box_server::run(stage.clone(), at));
     }
     tokio::task::spawn_local(pump(stage.clone()));
-    let (nodes, mut running) = start_nodes(&stage, &options).await?;
+    let mut running = Running::new();
+    let played = run_day(&stage, &options, &mut running).await;
+    running.shutdown().await;
+    node::reap(&stage.borrow().node_processes);
+    let took = played?;
+    let mut stage = stage.borrow_mut();
+    stage.record(Event::DayOver);
+    if let (Some(file), Some(path)) = (stage.trace.take(), options.trace) {
+        file.finish().map_err(|error| SocketsError::File(path.into(), error))?;
+    }
+    let referee = std::mem::replace(&mut stage.referee, Referee::new(&judged));
+    Ok(Played {
+        policy: Kind::Module,
+        seed: day.seed,
+        verdict: referee.verdict(),
+        events: stage.events,
+        took,
+    })
+}
+
+/// Starts the nodes and lets the day pass, to its end or until it is told to stop; says how long that took.
+async fn run_day(
+    stage: &Shared,
+    options: &SocketsOptions<'_>,
+    running: &mut Running,
+) -> Result<Duration, SocketsError> {
+    let nodes = start_nodes(stage, options, running).await?;
     stage.borrow_mut().begin();
     let pools = Rc::new((0..nodes.len()).map(|_| RefCell::default()).collect());
     let began = std::time::Instant::now();
     tokio::task::spawn_local(crowd::run(stage.clone(), Rc::new(nodes), pools));
     let mut stop = options.stop.clone();
-    let end = Time::ZERO + day.length + day.longest_deadline() + TAIL;
+    let end = {
+        let day = &stage.borrow().day;
+        Time::ZERO + day.length + day.longest_deadline() + TAIL
+    };
     loop {
         let (now, tick) =
             (stage.borrow().now(), stage.borrow().instant(stage.borrow().now() + Span::from_millis(200)));
@@ -136,15 +166,7 @@
             _ = stop.wait_for(|stop| *stop) => break,
         }
     }
-    running.shutdown().await;
-    let mut stage = stage.borrow_mut();
-    stage.record(Event::DayOver);
-    if let (Some(file), Some(path)) = (stage.trace.take(), options.trace) {
-        file.finish().map_err(|error| SocketsError::File(path.into(), error))?;
-    }
-    let referee = std::mem::replace(&mut stage.referee, Referee::new(&judged));
-    let (events, took) = (stage.events, began.elapsed());
-    Ok(Played { policy: Kind::Module, seed: day.seed, verdict: referee.verdict(), events, took })
+    Ok(began.elapsed())
 }
 
 /// An address of its own for each address of the day, so that boxes can leave and take over one.
@@ -171,9 +193,10 @@
 async fn start_nodes(
     stage: &Shared,
     options: &SocketsOptions<'_>,
-) -> Result<(Vec<SocketAddr>, Running), SocketsError> {
+    running: &mut Running,
+) -> Result<Vec<SocketAddr>, SocketsError> {
     let count = stage.borrow().day.nodes.len();
-    let (mut addresses, mut running, mut ups) = (Vec::new(), Running::new(), Vec::new());
+    let (mut addresses, mut ups) = (Vec::new(), Vec::new());
     for node in 0..count {
         let agent = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let [high, low] = (node as u16).to_be_bytes();
@@ -201,7 +224,7 @@
             });
         }
     }
-    Ok((addresses, running))
+    Ok(addresses)
 }
 
 /// Plays what is due, when it is.
--- a/crates/fleet/src/sockets/node.rs
+++ b/crates/fleet/src/sockets/node.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use hallpin_model::day::NodeId;
+use rustix::io::Errno;
+use rustix::process::{Pid, Signal, WaitOptions};
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -65,7 +67,9 @@
             command.env_remove(name);
         }
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).kill_on_drop(true);
-        command.spawn().map_err(|error| SocketsError::Node(self.node, error.to_string()))
+        let child = command.spawn().map_err(|error| SocketsError::Node(self.node, error.to_string()))?;
+        stage.borrow_mut().node_processes.extend(process(&child));
+        Ok(child)
     }
 
     /// Waits until the node wants clients.
@@ -147,10 +151,21 @@
     }
 }
 
+fn process(child: &Child) -> Option<Pid> {
+    child.id().and_then(|id| i32::try_from(id).ok()).and_then(Pid::from_raw)
+}
+
+/// Waits until these nodes have ended, which have all been killed: their ports are free then, and nothing runs on. One
+/// that has been waited for already is no child any more.
+pub fn reap(nodes: &[Pid]) {
+    for node in nodes {
+        while let Err(Errno::INTR) = rustix::process::waitpid(Some(*node), WaitOptions::empty()) {}
+    }
+}
+
 fn terminate(child: &Child) {
-    let pid = child.id().and_then(|id| i32::try_from(id).ok()).and_then(rustix::process::Pid::from_raw);
-    if let Some(pid) = pid {
+    if let Some(pid) = process(child) {
         // One that has ended meanwhile needs no signal.
-        let _ = rustix::process::kill_process(pid, rustix::process::Signal::TERM);
+        let _ = rustix::process::kill_process(pid, Signal::TERM);
     }
 }
--- a/crates/fleet/src/sockets/stage.rs
+++ b/crates/fleet/src/sockets/stage.rs
@@ -21,6 +21,7 @@
 use hallpin_model::world::Parts;
 use hallpin_protocol::cache_server::{self, Remarks};
 use rustc_hash::FxHashMap;
+use rustix::process::Pid;
 use tokio::sync::{oneshot, watch, Notify};
 use tokio::time::Instant;
 
@@ -124,6 +125,8 @@
     /// Nodes that want clients, and nodes whose process runs.
     pub nodes_up: Vec<bool>,
     pub nodes_alive: Vec<bool>,
+    /// All processes of nodes that were started.
+    pub node_processes: Vec<Pid>,
     waiting: FxHashMap<u64, Waiting>,
     tokens: u64,
     pub tries: FxHashMap<TryId, Tried>,
@@ -165,6 +168,7 @@
             node_orders: (0..nodes).map(|_| watch::channel(NodeOrder::Run).0).collect(),
             nodes_up: vec![false; nodes],
             nodes_alive: vec![false; nodes],
+            node_processes: Vec::new(),
             waiting: FxHashMap::default(),
             tokens: 0,
             tries: FxHashMap::default(),
