--- a/crates/baselines/src/boxes.rs
+++ b/crates/baselines/src/boxes.rs
@@ -1,7 +1,7 @@
 //! The boxes as a textbook policy knows them: the list, its own requests in flight, and which it leaves alone.
 
-use hallpin_decisions::{RosterEntry, RosterNews, Seconds, ServerId, ServerState};
-use hallpin_model::policy::{TrueBox, TruePlanner, Truth};
+use hallpin_decisions::{RequestId, RosterEntry, RosterNews, Seconds, ServerId, ServerState};
+use hallpin_model::policy::{Sight, TrueBox, TruePlanner};
 use rustc_hash::FxHashMap;
 
 /// Failures in a row after which a box is left alone, and for how long.
@@ -11,6 +11,8 @@
 #[derive(Default)]
 struct Listed {
     entry: RosterEntry,
+    /// Its number in the world, where that can be seen.
+    true_at: Option<usize>,
     in_flight: u32,
     failures: u32,
     alone_until: Seconds,
@@ -24,14 +26,11 @@
     /// Those to pick from, in the order of their ids.
     ready: Vec<usize>,
     in_flight: u32,
-    truth: Truth,
-    /// Where each box stands in the truth, which always has them in one order.
-    true_at: FxHashMap<ServerId, usize>,
 }
 
 impl Boxes {
     /// Takes news of the list; false where they tell nothing.
-    pub(crate) fn listed(&mut self, news: RosterNews) -> bool {
+    pub(crate) fn listed(&mut self, news: RosterNews, world: &dyn Sight) -> bool {
         let (whole, entries) = match news {
             RosterNews::Failed => return false,
             RosterNews::Cached(entries) | RosterNews::Full(entries) => (true, entries),
@@ -44,7 +43,8 @@
             let next = self.all.len();
             let number = *self.numbers.entry(entry.server.clone()).or_insert(next);
             if number == next {
-                self.all.push(Listed::default());
+                let true_at = world.find(&entry.server);
+                self.all.push(Listed { true_at, ..Listed::default() });
             }
             self.all[number].entry = entry;
         }
@@ -80,16 +80,9 @@
         }
     }
 
-    pub(crate) fn see(&mut self, truth: Truth) {
-        if self.true_at.len() != truth.boxes.len() {
-            self.true_at = truth.boxes.iter().enumerate().map(|(at, b)| (b.server.clone(), at)).collect();
-        }
-        self.truth = truth;
-    }
-
     /// Those that a request may pick from, which has tried some.
-    pub(crate) fn view<'a>(&'a self, now: Seconds, tried: &'a [usize]) -> View<'a> {
-        View { boxes: self, now, tried }
+    pub(crate) fn view<'a>(&'a self, now: Seconds, tried: &'a [usize], world: &'a dyn Sight) -> View<'a> {
+        View { boxes: self, now, tried, world }
     }
 }
 
@@ -99,6 +92,7 @@
     boxes: &'a Boxes,
     now: Seconds,
     tried: &'a [usize],
+    world: &'a dyn Sight,
 }
 
 impl View<'_> {
@@ -146,13 +140,23 @@
         self.now >= self.listed(index).alone_until && !self.tried.contains(&self.number(index))
     }
 
-    /// As it truly is, where the policy is shown that.
-    pub fn truth(&self, index: usize) -> Option<&TrueBox> {
-        self.boxes.truth.boxes.get(*self.boxes.true_at.get(self.id(index))?)
+    /// As it truly is.
+    pub fn truth(&self, index: usize) -> Option<TrueBox> {
+        self.listed(index).true_at.map(|at| self.world.look(at))
+    }
+
+    /// It truly keeps a good copy of what the request asks for.
+    pub fn keeps(&self, index: usize, request: RequestId) -> bool {
+        self.listed(index).true_at.is_some_and(|at| self.world.keeps(at, request))
+    }
+
+    /// Sent there, the request would truly join a call to the planner that is out.
+    pub fn fetches(&self, index: usize, request: RequestId) -> bool {
+        self.listed(index).true_at.is_some_and(|at| self.world.fetches(at, request))
     }
 
-    /// The planner as it truly is, where the policy is shown that.
+    /// The planner as it truly is.
     pub fn planner(&self) -> TruePlanner {
-        self.boxes.truth.planner
+        self.world.planner()
     }
 }
--- a/crates/baselines/src/pick.rs
+++ b/crates/baselines/src/pick.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, PoisonError};
 
-use hallpin_decisions::{Key, Seconds, ServerId};
+use hallpin_decisions::{Key, RequestId, Seconds, ServerId};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use twox_hash::XxHash3_64;
@@ -13,12 +13,34 @@
 /// What is to be placed.
 #[derive(Clone, Copy, Debug)]
 pub struct Wanted {
+    /// The request.
+    pub id: RequestId,
     /// Its key.
     pub key: Key,
     /// It changes the key at the planner.
     pub write: bool,
     /// Time that is left for it.
     pub left: Seconds,
+    /// Time since it came.
+    pub age: Seconds,
+}
+
+/// What becomes of a request next.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Choice {
+    /// It goes to the box of this index.
+    Send(usize),
+    /// It is looked at again after so many seconds.
+    Wait(Seconds),
+    /// It is refused.
+    Refuse,
+}
+
+impl Choice {
+    /// Refuses where there is no box.
+    fn of(index: Option<usize>) -> Self {
+        index.map_or(Choice::Refuse, Choice::Send)
+    }
 }
 
 /// Picks boxes.
@@ -26,12 +48,12 @@
     /// The list has changed.
     fn listed(&mut self, _boxes: View) {}
 
-    /// The index of the box to send to; `None` refuses.
-    fn pick(&mut self, wanted: Wanted, boxes: View, random: &mut Pcg64Mcg) -> Option<usize>;
+    /// Where a request goes.
+    fn pick(&mut self, wanted: Wanted, boxes: View, random: &mut Pcg64Mcg) -> Choice;
 
-    /// Whether it is shown the boxes as they are.
-    fn is_omniscient(&self) -> bool {
-        false
+    /// Share of the time left after which an attempt is given up for another one.
+    fn patience(&self) -> f64 {
+        0.5
     }
 }
 
@@ -102,8 +124,8 @@
 pub struct Random;
 
 impl Pick for Random {
-    fn pick(&mut self, _: Wanted, boxes: View, random: &mut Pcg64Mcg) -> Option<usize> {
-        any_open(boxes, random)
+    fn pick(&mut self, _: Wanted, boxes: View, random: &mut Pcg64Mcg) -> Choice {
+        Choice::of(any_open(boxes, random))
     }
 }
 
@@ -111,10 +133,10 @@
 pub struct LeastOfTwo;
 
 impl Pick for LeastOfTwo {
-    fn pick(&mut self, _: Wanted, boxes: View, random: &mut Pcg64Mcg) -> Option<usize> {
-        let (a, b) = (any_open(boxes, random)?, any_open(boxes, random)?);
+    fn pick(&mut self, _: Wanted, boxes: View, random: &mut Pcg64Mcg) -> Choice {
         let load = |i: usize| f64::from(boxes.in_flight(i) + 1) / boxes.weight(i).max(1e-9);
-        Some(if load(b) < load(a) { b } else { a })
+        let drawn = any_open(boxes, random).zip(any_open(boxes, random));
+        Choice::of(drawn.map(|(a, b)| if load(b) < load(a) { b } else { a }))
     }
 }
 
@@ -140,8 +162,8 @@
         self.ids = (0..boxes.len()).map(|i| hash(boxes.id(i), 0)).collect();
     }
 
-    fn pick(&mut self, wanted: Wanted, boxes: View, _: &mut Pcg64Mcg) -> Option<usize> {
-        self.best(wanted.key, boxes, |i| boxes.is_open(i))
+    fn pick(&mut self, wanted: Wanted, boxes: View, _: &mut Pcg64Mcg) -> Choice {
+        Choice::of(self.best(wanted.key, boxes, |i| boxes.is_open(i)))
     }
 }
 
@@ -184,7 +206,7 @@
         self.ring = self.shared.of(boxes, || Self::build(boxes));
     }
 
-    fn pick(&mut self, wanted: Wanted, boxes: View, _: &mut Pcg64Mcg) -> Option<usize> {
+    fn pick(&mut self, wanted: Wanted, boxes: View, _: &mut Pcg64Mcg) -> Choice {
         let Ring { points, weights } = &*self.ring;
         let all = f64::from(boxes.all_in_flight()) + 1.0;
         let at = XxHash3_64::oneshot(&wanted.key.0.to_le_bytes());
@@ -197,10 +219,10 @@
             fallback.get_or_insert(*i);
             let bound = (Self::BOUND * all * boxes.weight(*i) / weights.max(1e-9)).ceil();
             if f64::from(boxes.in_flight(*i)) + 1.0 <= bound {
-                return Some(*i);
+                return Choice::Send(*i);
             }
         }
-        fallback
+        Choice::of(fallback)
     }
 }
 
@@ -257,34 +279,66 @@
         self.table = self.shared.of(boxes, || Self::build(boxes));
     }
 
-    fn pick(&mut self, wanted: Wanted, boxes: View, _: &mut Pcg64Mcg) -> Option<usize> {
+    fn pick(&mut self, wanted: Wanted, boxes: View, _: &mut Pcg64Mcg) -> Choice {
         // A box that is not open passes to the owner of the key's next hash.
-        (0..64u64).find_map(|n| {
+        Choice::of((0..64u64).find_map(|n| {
             let slot = hash_pair(wanted.key.0, n) % Self::SLOTS;
             let owner = self.table.get(slot as usize).map(|i| *i as usize);
             owner.filter(|i| *i < boxes.len() && boxes.is_open(*i))
-        })
+        }))
     }
 }
 
-/// Of the boxes that run and have room: the quickest that keeps the key, or else the key's home among them by
-/// rendezvous hashing, so that copies are not scattered. It asks nothing of a planner that could not answer in time.
+/// Sends to a box that keeps a good copy and has a slot free, the freest of them, or to one that fetches the key
+/// already. Where those that keep it are busy it waits a little for one; then, and for what nobody keeps, it asks the
+/// key's home among the boxes that run, by rendezvous hashing, so that copies are not scattered and fetches are joined.
+/// It asks no more of the planner than that can work on, and nothing of a box that has no slot free.
+///
+/// It knows what is, not what will come: of two policies that both see everything, another may still do better.
 #[derive(Default)]
 pub struct Omniscient {
     homes: Rendezvous,
 }
 
 impl Omniscient {
-    /// A box that keeps the key is passed over when it would need this long, in seconds of its work a request.
-    const CROWDED: f64 = 6.0;
+    /// Between two looks at the world.
+    const LOOK: Seconds = 0.004;
+    /// A box that is merely busy is waited for so long before another one makes a second copy,
+    const SECOND_COPY: Seconds = 0.060;
+    /// and that only while the planner has so little to do.
+    const SPARE: f64 = 0.5;
     /// Share of the time left in which the planner must be able to answer.
     const IN_TIME: f64 = 0.8;
+    /// Share of its time for which a request waits for the planner; what does not get in by then makes room.
+    const PATIENT: f64 = 0.3;
+    /// Share of a box's slots that calls to the planner leave to requests whose key is kept.
+    const FOR_COPIES: f64 = 0.3;
+    /// Calls that the planner may have for each that it can work on at once.
+    const PLANNER_LOAD: f64 = 1.0;
+
+    /// What share of the box's slots is free now, if it runs and one of them is.
+    fn free(boxes: View, index: usize) -> Option<f64> {
+        let truth = boxes.truth(index).filter(|t| t.up && boxes.is_open(index))?;
+        let free = truth.present_slots - truth.wanted as f64;
+        // A box that is so slow that it has less than one slot still serves one at a time.
+        (free > 0.0).then(|| free / truth.slots)
+    }
+
+    /// A read goes where its key is kept and a slot is free, or else waits for that where it is kept at all.
+    fn kept(wanted: Wanted, boxes: View, free: &[Option<f64>]) -> Option<Choice> {
+        let keeps = |i: &usize| boxes.keeps(*i, wanted.id);
+        let with = (0..boxes.len()).filter_map(|i| free[i].map(|f| (i, f))).filter(|(i, _)| keeps(i));
+        if let Some((i, _)) = with.max_by(|a, b| a.1.total_cmp(&b.1)) {
+            return Some(Choice::Send(i));
+        }
+        let busy = |i: &usize| free[*i].is_none() && Self::up(boxes, *i) && keeps(i);
+        let spare = wanted.age >= Self::SECOND_COPY && boxes.planner().load < Self::SPARE;
+        let wait = !spare && (0..boxes.len()).any(|i| busy(&i));
+        wait.then_some(Choice::Wait(Self::LOOK))
+    }
 
-    /// How long the box would be at this request, in units of its own work, if it can take it.
-    fn wait(boxes: View, index: usize) -> Option<f64> {
-        let truth = boxes.truth(index).filter(|_| boxes.is_open(index))?;
-        let room = truth.up && truth.held < truth.room && truth.capacity > 0.0;
-        room.then(|| (truth.held as f64 + 1.0) / truth.capacity)
+    fn up(boxes: View, index: usize) -> bool {
+        boxes.is_open(index) && boxes.truth(index).is_some_and(|t| t.up)
     }
 }
 
@@ -293,25 +347,42 @@
         self.homes.listed(boxes);
     }
 
-    fn pick(&mut self, wanted: Wanted, boxes: View, _: &mut Pcg64Mcg) -> Option<usize> {
-        let waits: Vec<Option<f64>> = (0..boxes.len()).map(|i| Self::wait(boxes, i)).collect();
-        let quickest = |fit: &dyn Fn(usize) -> bool| {
-            let fit = waits.iter().enumerate().filter_map(|(i, w)| w.filter(|_| fit(i)).map(|w| (i, w)));
-            fit.min_by(|a, b| a.1.total_cmp(&b.1))
-        };
-        let keeps = |i: usize| boxes.truth(i).is_some_and(|t| t.keeps);
-        if let Some((i, _)) = quickest(&keeps).filter(|(_, wait)| !wanted.write && *wait < Self::CROWDED) {
-            return Some(i);
+    fn pick(&mut self, wanted: Wanted, boxes: View, _: &mut Pcg64Mcg) -> Choice {
+        let free: Vec<Option<f64>> = (0..boxes.len()).map(|i| Self::free(boxes, i)).collect();
+        if let Some(choice) = Some(wanted).filter(|w| !w.write).and_then(|w| Self::kept(w, boxes, &free)) {
+            return choice;
         }
         let planner = boxes.planner();
         if !planner.up || planner.answers_in > wanted.left * Self::IN_TIME {
-            return None;
+            return Choice::Refuse;
+        }
+        if !wanted.write {
+            if let Some(i) = (0..boxes.len()).find(|i| free[*i].is_some() && boxes.fetches(*i, wanted.id)) {
+                return Choice::Send(i);
+            }
+        }
+        if planner.load > Self::PLANNER_LOAD {
+            let early = wanted.age < (wanted.age + wanted.left) * Self::PATIENT;
+            return if early { Choice::Wait(Self::LOOK) } else { Choice::Refuse };
+        }
+        let fit = |i: usize| {
+            let room = free[i].is_some_and(|f| f > Self::FOR_COPIES);
+            room && (wanted.write || boxes.truth(i).is_some_and(|t| t.may_fetch))
+        };
+        match self.homes.best(wanted.key, boxes, |i| Self::up(boxes, i)) {
+            None => Choice::Refuse,
+            Some(home) if fit(home) => Choice::Send(home),
+            Some(_) if wanted.age < Self::SECOND_COPY || planner.load > Self::SPARE => {
+                Choice::Wait(Self::LOOK)
+            }
+            Some(_) => match self.homes.best(wanted.key, boxes, fit) {
+                Some(other) => Choice::Send(other),
+                None => Choice::Wait(Self::LOOK),
+            },
         }
-        let home = self.homes.best(wanted.key, boxes, |i| waits[i].is_some_and(|w| w < Self::CROWDED));
-        home.or_else(|| quickest(&|_| true).map(|(i, _)| i))
     }
 
-    fn is_omniscient(&self) -> bool {
-        true
+    fn patience(&self) -> f64 {
+        0.9
     }
 }
--- a/crates/baselines/src/textbook.rs
+++ b/crates/baselines/src/textbook.rs
@@ -4,13 +4,16 @@
     Action, AttemptId, Class, Effect, Event, Key, NewRequest, Outcome, RequestId, Seconds, Settings,
     SettingsError, Status, TimerToken,
 };
-use hallpin_model::policy::{Policy, Truth};
+use hallpin_model::policy::{Policy, Sight};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use rustc_hash::FxHashMap;
 
 use crate::boxes::Boxes;
-use crate::pick::{Pick, Wanted};
+use crate::pick::{Choice, Pick, Wanted};
+
+/// Marks the timer of a request that waits for a box; ids of requests do not reach so far.
+const LOOK_AGAIN: u64 = 1 << 63;
 
 /// An attempt.
 #[derive(Clone, Copy)]
@@ -21,6 +24,7 @@
 }
 
 struct Live {
+    since: Seconds,
     class: usize,
     key: Key,
     write: bool,
@@ -55,7 +59,7 @@
     }
 
     /// Sends a request on, or ends it.
-    fn place(&mut self, now: Seconds, id: RequestId, actions: &mut Vec<Action>) {
+    fn place(&mut self, now: Seconds, id: RequestId, world: &dyn Sight, actions: &mut Vec<Action>) {
         let Some(live) = self.requests.get(&id) else { return };
         let (Some(class), round) = (self.class(live), self.settings.round) else { return };
         let ran = live.tried.iter().filter(|t| t.ran != Some(false)).map(|t| t.sent);
@@ -67,13 +71,22 @@
         };
         let left = live.deadline - now - 2.0 * round;
         let more = live.tried.len() < self.settings.limits.max_attempts as usize;
-        let wanted = Wanted { key: live.key, write: live.write, left };
-        let view = self.boxes.view(now, &live.at);
-        let picked =
-            if may && more && left > 0.0 { self.pick.pick(wanted, view, &mut self.random) } else { None };
-        let Some(number) = picked.map(|index| view.number(index)) else { return self.end(id, actions) };
-        // Waits for half of the time that is left, so that another can still be tried.
-        let timeout = Some(left / 2.0).filter(|t| *t > round).or(Some(left));
+        let wanted = Wanted { id, key: live.key, write: live.write, left, age: now - live.since };
+        let view = self.boxes.view(now, &live.at, world);
+        let choice = if may && more && left > 0.0 {
+            self.pick.pick(wanted, view, &mut self.random)
+        } else {
+            Choice::Refuse
+        };
+        let number = match choice {
+            Choice::Send(index) => view.number(index),
+            Choice::Wait(after) => {
+                return actions.push(Action::SetTimer { token: TimerToken(id.0 | LOOK_AGAIN), after });
+            }
+            Choice::Refuse => return self.end(id, actions),
+        };
+        // Not for all of the time that is left, so that another can still be tried.
+        let timeout = Some(left * self.pick.patience()).filter(|t| *t > round).or(Some(left));
         actions.push(Action::Send { request: id, server: self.boxes.id(number).clone(), timeout });
         self.boxes.sent(number);
         if let Some(live) = self.requests.get_mut(&id) {
@@ -94,18 +107,19 @@
         self.forget(id);
     }
 
-    fn request(&mut self, now: Seconds, new: NewRequest, actions: &mut Vec<Action>) {
+    fn request(&mut self, now: Seconds, new: NewRequest, world: &dyn Sight, actions: &mut Vec<Action>) {
         let class = new.class.map_or(0, |c| c.0);
         let key = new.key.unwrap_or(Key(new.id.0));
         let deadline = now + new.left;
-        let live = Live { class, key, write: new.write, deadline, tried: Vec::new(), at: Vec::new() };
+        let live =
+            Live { since: now, class, key, write: new.write, deadline, tried: Vec::new(), at: Vec::new() };
         self.requests.insert(new.id, live);
         let after = (new.left - 2.0 * self.settings.round).max(0.0);
         actions.push(Action::SetTimer { token: TimerToken(new.id.0), after });
-        self.place(now, new.id, actions);
+        self.place(now, new.id, world, actions);
     }
 
-    fn outcome(&mut self, now: Seconds, outcome: &Outcome, actions: &mut Vec<Action>) {
+    fn outcome(&mut self, now: Seconds, outcome: &Outcome, world: &dyn Sight, actions: &mut Vec<Action>) {
         // Of a request that has ended, the attempts are counted no more.
         let Some(number) = self.ended(outcome.request, outcome.attempt, outcome.status) else { return };
         self.boxes.left(number);
@@ -117,7 +131,7 @@
         if outcome.finished {
             self.forget(outcome.request);
         } else {
-            self.place(now, outcome.request, actions);
+            self.place(now, outcome.request, world, actions);
         }
     }
 
@@ -138,15 +152,18 @@
 }
 
 impl<P: Pick> Policy for Textbook<P> {
-    fn handle(&mut self, now: Seconds, event: Event, actions: &mut Vec<Action>) {
+    fn handle(&mut self, now: Seconds, event: Event, world: &dyn Sight, actions: &mut Vec<Action>) {
         match event {
             Event::Roster(news) => {
-                if self.boxes.listed(news) {
-                    self.pick.listed(self.boxes.view(now, &[]));
+                if self.boxes.listed(news, world) {
+                    self.pick.listed(self.boxes.view(now, &[], world));
                 }
             }
-            Event::Request(new) => self.request(now, new, actions),
-            Event::Outcome(outcome) => self.outcome(now, &outcome, actions),
+            Event::Request(new) => self.request(now, new, world, actions),
+            Event::Outcome(outcome) => self.outcome(now, &outcome, world, actions),
+            Event::Timer(TimerToken(token)) if token & LOOK_AGAIN != 0 => {
+                self.place(now, RequestId(token & !LOOK_AGAIN), world, actions);
+            }
             // Its time is nearly up.
             Event::Timer(TimerToken(id)) => self.end(RequestId(id), actions),
             // Nobody waits.
@@ -154,20 +171,14 @@
             Event::StreamStarted { .. } | Event::Probed { .. } | Event::Message { .. } => {}
         }
     }
-
-    fn is_omniscient(&self) -> bool {
-        self.pick.is_omniscient()
-    }
-
-    fn see(&mut self, truth: Truth) {
-        self.boxes.see(truth);
-    }
 }
 
 #[cfg(test)]
 mod tests {
     use hallpin_decisions::{RosterEntry, RosterNews, ServerId, ServerState};
 
+    use hallpin_model::policy::Blind;
+
     use super::*;
     use crate::Kind;
 
@@ -189,7 +200,7 @@
     fn homes(kind: Kind, n: usize) -> Vec<ServerId> {
         let mut policy = kind.starter()(settings(), 1).unwrap();
         let mut actions = Vec::new();
-        policy.handle(0.0, Event::Roster(RosterNews::Full(fleet(n))), &mut actions);
+        policy.handle(0.0, Event::Roster(RosterNews::Full(fleet(n))), &Blind, &mut actions);
         let home = |key: u64| {
             let id = RequestId(key + 1);
             let new = NewRequest {
@@ -202,12 +213,12 @@
                 work: None,
             };
             let mut actions = Vec::new();
-            policy.handle(0.1, Event::Request(new), &mut actions);
+            policy.handle(0.1, Event::Request(new), &Blind, &mut actions);
             let to = actions.iter().find_map(|a| match a {
                 Action::Send { server, .. } => Some(server.clone()),
                 _ => None,
             });
-            policy.handle(0.1, Event::Withdrawn(id), &mut actions);
+            policy.handle(0.1, Event::Withdrawn(id), &Blind, &mut actions);
             to.expect("a box")
         };
         (0..2000).map(home).collect()
@@ -232,7 +243,7 @@
         for kind in [Kind::Random, Kind::LeastOfTwo, Kind::Rendezvous, Kind::BoundedLoad, Kind::Maglev] {
             let mut policy = kind.starter()(settings(), 1).unwrap();
             let mut actions = Vec::new();
-            policy.handle(0.0, Event::Roster(RosterNews::Full(fleet(5))), &mut actions);
+            policy.handle(0.0, Event::Roster(RosterNews::Full(fleet(5))), &Blind, &mut actions);
             let new = NewRequest {
                 id: RequestId(1),
                 left: 1.0,
@@ -242,7 +253,7 @@
                 write: false,
                 work: None,
             };
-            policy.handle(0.0, Event::Request(new), &mut actions);
+            policy.handle(0.0, Event::Request(new), &Blind, &mut actions);
             for attempt in 0..3 {
                 let failed = Outcome {
                     request: RequestId(1),
@@ -252,7 +263,7 @@
                     finished: false,
                     note: None,
                 };
-                policy.handle(0.01, Event::Outcome(failed), &mut actions);
+                policy.handle(0.01, Event::Outcome(failed), &Blind, &mut actions);
             }
             let sends: Vec<&ServerId> = actions
                 .iter()
--- a/crates/fleet/src/sockets/box_server.rs
+++ b/crates/fleet/src/sockets/box_server.rs
@@ -27,30 +27,69 @@
     socket.listen(backlog)
 }
 
-/// A free port at this address of the loopback net, which is held by nothing else of the machine.
-pub(super) fn reserve(ip: std::net::Ipv4Addr) -> std::io::Result<SocketAddr> {
-    let listener = std::net::TcpListener::bind((ip, 0))?;
-    listener.local_addr()
+/// Free ports at this address of the loopback net, which is held by nothing else of the machine.
+pub(super) fn reserve(ip: std::net::Ipv4Addr, count: usize) -> std::io::Result<Vec<SocketAddr>> {
+    // All are held until the last is had, so that none is given twice.
+    let listeners: Vec<_> =
+        (0..count).map(|_| std::net::TcpListener::bind((ip, 0))).collect::<Result<_, _>>()?;
+    listeners.iter().map(std::net::TcpListener::local_addr).collect()
 }
 
-/// Plays a box's machine until the day is over.
-pub(super) async fn run(stage: Shared, at: BoxId) {
-    let address = stage.borrow().addresses[at];
-    let mut mode = stage.borrow().mode(at);
+/// What lies between the nodes of a depot and a box: the box's machine, and the network on the way.
+struct Way {
+    at: BoxId,
+    mode: watch::Receiver<Mode>,
+    /// How many incidents part the two.
+    link: watch::Receiver<u32>,
+}
+
+impl Way {
+    fn new(stage: &Shared, at: BoxId, from: usize) -> Self {
+        let stage = stage.borrow();
+        Way { at, mode: stage.mode(at), link: stage.link(from, at) }
+    }
+
+    fn is_parted(&self) -> bool {
+        *self.link.borrow() > 0
+    }
+
+    /// How the box's machine looks from the depot.
+    fn seen(&mut self) -> Mode {
+        let mode = *self.mode.borrow_and_update();
+        let parted = *self.link.borrow_and_update() > 0;
+        if parted {
+            Mode::Silent
+        } else {
+            mode
+        }
+    }
+
+    /// Waits until either may have changed; false once the day is over.
+    async fn changed(&mut self) -> bool {
+        tokio::select! {
+            turned = self.mode.changed() => turned.is_ok(),
+            turned = self.link.changed() => turned.is_ok(),
+        }
+    }
+}
+
+/// Plays a box's machine towards the nodes of a depot until the day is over.
+pub(super) async fn run(stage: Shared, at: BoxId, from: usize) {
+    let address = stage.borrow().addresses[at][from];
+    let mut way = Way::new(&stage, at, from);
     loop {
-        let now = *mode.borrow_and_update();
-        let turned = match now {
+        let goes_on = match way.seen() {
             Mode::Open(life) => tokio::select! {
-                turned = mode.changed() => turned,
-                () = serve(&stage, at, life, address) => unreachable!("serves until its mode turns"),
+                goes_on = way.changed() => goes_on,
+                () = serve(&stage, at, from, life, address) => unreachable!("serves until its mode turns"),
             },
             Mode::Silent => tokio::select! {
-                turned = mode.changed() => turned,
+                goes_on = way.changed() => goes_on,
                 () = swallow(address) => unreachable!("swallows until its mode turns"),
             },
-            Mode::Down => mode.changed().await,
+            Mode::Down => way.changed().await,
         };
-        if turned.is_err() {
+        if !goes_on {
             return;
         }
     }
@@ -67,13 +106,13 @@
 }
 
 /// Accepts for ever, for one life of the process.
-async fn serve(stage: &Shared, at: BoxId, life: u32, address: SocketAddr) {
+async fn serve(stage: &Shared, at: BoxId, from: usize, life: u32, address: SocketAddr) {
     let listener = listen(address, BACKLOG).await;
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let (stage, mode) = (stage.clone(), stage.borrow().mode(at));
-                tokio::task::spawn_local(connection(stage, at, life, stream, mode));
+                let way = Way::new(stage, at, from);
+                tokio::task::spawn_local(connection(stage.clone(), life, stream, way));
             }
             Err(_) => sleep(PAUSE).await,
         }
@@ -116,24 +155,20 @@
 }
 
 /// Reads commands and answers them in their order, until either side ends or the process's life does.
-async fn connection(
-    stage: Shared,
-    at: BoxId,
-    life: u32,
-    mut stream: TcpStream,
-    mut mode: watch::Receiver<Mode>,
-) {
+async fn connection(stage: Shared, life: u32, mut stream: TcpStream, mut way: Way) {
+    let at = way.at;
     let idle_close = Duration::from_micros(stage.borrow().day.boxes[at].idle_close.0);
-    if *mode.borrow_and_update() != Mode::Open(life) || !stage.borrow_mut().connected(at) {
+    if way.seen() != Mode::Open(life) || !stage.borrow_mut().connected(at) {
         return reset(stream);
     }
     let _ = stream.set_nodelay(true);
     let (mut input, mut owed, mut used) = (BytesMut::new(), VecDeque::<Owed>::new(), Instant::now());
-    // One whose machine is silent stays open and says nothing until the process has started anew.
+    // One whose machine is silent stays open and says nothing until the process has started anew; one whose depots are
+    // parted, until they are no more.
     let mut silent = false;
     let ended_by_life = loop {
         while let Some(call) = cache_server::next_call(&mut input) {
-            if let Some(next) = take(&stage, at, call, silent) {
+            if let Some(next) = take(&stage, &way, call, silent) {
                 owed.push_back(next);
             }
         }
@@ -156,9 +191,9 @@
                     _ => break false,
                 }
             }
-            turned = mode.changed() => match (turned, *mode.borrow()) {
-                (Ok(()), Mode::Silent) => silent = true,
-                (Ok(()), Mode::Open(now)) if now == life => {}
+            goes_on = way.changed() => match (goes_on, way.seen()) {
+                (true, Mode::Silent) => silent = true,
+                (true, Mode::Open(now)) if now == life => silent = false,
                 _ => break true,
             },
             () = sleep_until(used + idle_close), if idle => break false,
@@ -173,7 +208,8 @@
     }
 }
 
-fn take(stage: &Shared, at: BoxId, call: Call, silent: bool) -> Option<Owed> {
+fn take(stage: &Shared, way: &Way, call: Call, silent: bool) -> Option<Owed> {
+    let at = way.at;
     let at_once = |text: Vec<u8>| {
         let (tell, reply) = oneshot::channel();
         let _ = tell.send(text);
@@ -183,7 +219,8 @@
         Call::Command(command) => {
             let (tell, reply) = oneshot::channel();
             let opaque = String::from_utf8_lossy(&command.opaque()).into_owned();
-            let taken: Option<(u64, NodeId)> = stage.borrow_mut().command(at, &opaque, tell);
+            let taken: Option<(u64, NodeId)> =
+                stage.borrow_mut().command(at, !way.is_parted(), &opaque, tell);
             let Some((token, node)) = taken else {
                 return Some(at_once(b"CLIENT_ERROR unknown id\r\n".to_vec()));
             };
--- a/crates/fleet/src/sockets/discovery.rs
+++ b/crates/fleet/src/sockets/discovery.rs
@@ -80,13 +80,14 @@
         Some(index) => stage.agents[node].list.since(index),
         None => stage.agents[node].list.whole(),
     };
-    let body = form(&stage, &news).to_string();
+    let body = form(&stage, node, &news).to_string();
     stage.told(node, &news.listings);
     respond(StatusCode::OK, body)
 }
 
-/// Discovery's form of a list.
-pub(super) fn form(stage: &Stage, news: &News) -> Value {
+/// Discovery's form of a list, with the boxes as they are reached from a node's depot.
+pub(super) fn form(stage: &Stage, node: NodeId, news: &News) -> Value {
+    let depot = stage.day.nodes[node];
     let member = |l: &Listing| {
         let spec = &stage.day.boxes[l.cache_box];
         let phase = match l.phase {
@@ -95,7 +96,7 @@
             Phase::Gone => "gone",
         };
         json!({
-            "id": spec.id, "host_port": stage.addresses[l.cache_box].to_string(),
+            "id": spec.id, "host_port": stage.addresses[l.cache_box][depot].to_string(),
             "locality": stage.day.depots[spec.depot], "flavor": spec.kind, "cell": spec.cell,
             "phase": phase, "size": spec.size, "up_since_ms": stage.unix_ms(l.started),
         })
@@ -108,7 +109,7 @@
 pub(super) fn known(stage: &Rc<std::cell::RefCell<Stage>>, node: NodeId) -> Value {
     let mut stage = stage.borrow_mut();
     let news = stage.agents[node].list.whole();
-    let form = form(&stage, &news);
+    let form = form(&stage, node, &news);
     stage.told(node, &news.listings);
     form
 }
--- a/crates/fleet/src/sockets/mod.rs
+++ b/crates/fleet/src/sockets/mod.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 
 use hallpin_baselines::Kind;
-use hallpin_model::day::{Day, Incident, NodeId};
+use hallpin_model::day::{Day, NodeId};
 use hallpin_model::policy;
 use hallpin_model::referee::Referee;
 use hallpin_model::scenario::{Scenario, Wrong};
@@ -50,9 +50,6 @@
     /// The world cannot be built from it.
     #[error("scenario: {0}")]
     World(#[from] WorldError),
-    /// The scenario asks for what loopback sockets cannot show.
-    #[error("scenario: {0}: in virtual time only")]
-    VirtualOnly(&'static str),
     /// A file cannot be written.
     #[error("{path}: {error}", path = .0.display(), error = .1)]
     File(PathBuf, #[source] io::Error),
@@ -81,16 +78,13 @@
 /// Plays one day on loopback sockets. All that it starts has ended when it returns.
 ///
 /// # Errors
-/// Where the scenario makes no sense or cannot be shown on sockets, or a node cannot be started.
+/// Where the scenario makes no sense, or a node cannot be started.
 pub fn play_on_sockets(
     scenario: &Scenario,
     seed: u64,
     options: SocketsOptions,
 ) -> Result<Played, SocketsError> {
     let day = scenario.draw(seed)?;
-    if day.incidents.iter().any(|i| matches!(i.incident, Incident::Partition(..))) {
-        return Err(SocketsError::VirtualOnly("a partition"));
-    }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = LocalSet::new();
     let played = local.block_on(&runtime, play(Rc::new(day), options));
@@ -112,7 +106,9 @@
         stage.borrow_mut().trace = Some(file);
     }
     for at in 0..day.boxes.len() {
-        tokio::task::spawn_local(box_server::run(stage.clone(), at));
+        for depot in 0..day.depots.len() {
+            tokio::task::spawn_local(box_server::run(stage.clone(), at, depot));
+        }
     }
     tokio::task::spawn_local(pump(stage.clone()));
     let mut running = Running::new();
@@ -169,21 +165,22 @@
     Ok(began.elapsed())
 }
 
-/// An address of its own for each address of the day, so that boxes can leave and take over one.
-fn addresses(day: &Day) -> io::Result<Vec<SocketAddr>> {
-    let mut by_number: BTreeMap<u32, SocketAddr> = BTreeMap::new();
+/// For each box a socket address for the nodes of each depot, so that depots can be parted. Boxes with the same
+/// address of the day share theirs, so that one can leave and another take its place.
+fn addresses(day: &Day) -> io::Result<Vec<Vec<SocketAddr>>> {
+    let mut by_number: BTreeMap<u32, Vec<SocketAddr>> = BTreeMap::new();
     let mut all = Vec::new();
     for spec in &day.boxes {
-        let address = match by_number.get(&spec.address) {
-            Some(address) => *address,
+        let addresses = match by_number.get(&spec.address) {
+            Some(addresses) => addresses.clone(),
             None => {
                 let [high, low] = (spec.address as u16).to_be_bytes();
-                let address = box_server::reserve(Ipv4Addr::new(127, 77, high, low))?;
-                by_number.insert(spec.address, address);
-                address
+                let addresses = box_server::reserve(Ipv4Addr::new(127, 77, high, low), day.depots.len())?;
+                by_number.insert(spec.address, addresses.clone());
+                addresses
             }
         };
-        all.push(address);
+        all.push(addresses);
     }
     Ok(all)
 }
@@ -205,7 +202,7 @@
             program: options.program.0.clone(),
             arguments: options.program.1.clone(),
             folder: options.folder.into(),
-            listen: box_server::reserve(Ipv4Addr::new(127, 78, high, low))?,
+            listen: box_server::reserve(Ipv4Addr::new(127, 78, high, low), 1)?[0],
             discovery: agent.local_addr()?,
         };
         tokio::task::spawn_local(discovery::run(stage.clone(), node, agent));
--- a/crates/fleet/src/sockets/node.rs
+++ b/crates/fleet/src/sockets/node.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::process::{Child, Command};
+use tokio::process::{Child, ChildStdin, Command};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, Instant};
 
@@ -40,7 +40,8 @@
 }
 
 impl NodeSpec {
-    fn start(&self, stage: &Shared, starts: u32) -> Result<Child, SocketsError> {
+    /// Starts the process. It ends with the pipe, so that it does not outlive this one however that ends.
+    fn start(&self, stage: &Shared, starts: u32) -> Result<(Child, Option<ChildStdin>), SocketsError> {
         let day = stage.borrow().day.clone();
         let known = discovery::known(stage, self.node);
         let config = json!({
@@ -59,17 +60,19 @@
             .open(&log)
             .map_err(|e| SocketsError::File(log, e))?;
         let mut command = Command::new(&self.program);
-        command.args(&self.arguments).arg("--config").arg(&path).args(["--log", "json"]);
+        command.args(&self.arguments).arg("--config").arg(&path).args(["--log", "json", "--end-with-input"]);
         // What the platform tells a node must not leak in from here.
         for name in
             ["RELAY_CONFIG", "RELAY_OPERATOR", "RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY", "TMPDIR"]
         {
             command.env_remove(name);
         }
-        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).kill_on_drop(true);
-        let child = command.spawn().map_err(|error| SocketsError::Node(self.node, error.to_string()))?;
+        command.stdin(Stdio::piped()).stdout(Stdio::null()).stderr(log).kill_on_drop(true);
+        let mut child = command.spawn().map_err(|error| SocketsError::Node(self.node, error.to_string()))?;
         stage.borrow_mut().node_processes.extend(process(&child));
-        Ok(child)
+        // Waiting for the child would close the pipe.
+        let input = child.stdin.take();
+        Ok((child, input))
     }
 
     /// Waits until the node wants clients.
@@ -108,7 +111,7 @@
         let (mut starts, mut up) = (0, Some(up));
         let deadline = stage.borrow().day.longest_deadline();
         loop {
-            let mut child = self.start(&stage, starts)?;
+            let (mut child, _input) = self.start(&stage, starts)?;
             starts += 1;
             stage.borrow_mut().node_started(self.node);
             self.ready(&mut child).await?;
--- a/crates/fleet/src/sockets/stage.rs
+++ b/crates/fleet/src/sockets/stage.rs
@@ -14,7 +14,8 @@
 use hallpin_model::day::{Day, Incident, NodeId};
 use hallpin_model::keys::Keys;
 use hallpin_model::list::{BoxId, List, Listing, Phase};
-use hallpin_model::planner::{Ask, Planner, Told};
+use hallpin_model::origin::{Origin, OriginOut};
+use hallpin_model::planner::Ask;
 use hallpin_model::referee::Referee;
 use hallpin_model::time::{Span, Time};
 use hallpin_model::trace::{Ended, Event, Sink, TryId};
@@ -113,14 +114,14 @@
     pub clients: Clients,
     pub keys: Keys,
     places: Vec<Place>,
-    planner: Planner,
-    planner_wakes: Option<Time>,
-    askers: FxHashMap<u64, (BoxId, u32, u64)>,
-    asked: u64,
+    origin: Origin,
     list: List,
     pub list_silent: watch::Sender<u32>,
     pub agents: Vec<Agent>,
-    pub addresses: Vec<SocketAddr>,
+    /// Where each box listens, for the nodes of each depot.
+    pub addresses: Vec<Vec<SocketAddr>>,
+    /// How many incidents part each pair of depots.
+    links: Vec<watch::Sender<u32>>,
     pub node_orders: Vec<watch::Sender<NodeOrder>>,
     /// Nodes that want clients, and nodes whose process runs.
     pub nodes_up: Vec<bool>,
@@ -143,7 +144,7 @@
 pub(super) type Shared = Rc<RefCell<Stage>>;
 
 impl Stage {
-    pub fn new(day: Rc<Day>, parts: Parts, referee: Referee, addresses: Vec<SocketAddr>) -> Self {
+    pub fn new(day: Rc<Day>, parts: Parts, referee: Referee, addresses: Vec<Vec<SocketAddr>>) -> Self {
         let place = |cache: CacheBox| {
             let mode = if cache.is_up() { Mode::Open(0) } else { Mode::Down };
             Place { cache, life: 0, silent: 0, wakes: None, mode: watch::channel(mode).0 }
@@ -155,16 +156,14 @@
             clients: parts.clients,
             keys: parts.keys,
             places: parts.boxes.into_iter().map(place).collect(),
-            planner: parts.planner,
-            planner_wakes: None,
-            askers: FxHashMap::default(),
-            asked: 0,
+            origin: parts.origin,
             agents: (0..nodes)
                 .map(|_| Agent { list: parts.list.clone(), changed: watch::channel(parts.list.revision()).0 })
                 .collect(),
             list: parts.list,
             list_silent: watch::channel(0).0,
             addresses,
+            links: (0..day.depots.len().pow(2)).map(|_| watch::channel(0).0).collect(),
             node_orders: (0..nodes).map(|_| watch::channel(NodeOrder::Run).0).collect(),
             nodes_up: vec![false; nodes],
             nodes_alive: vec![false; nodes],
@@ -254,21 +253,27 @@
             Due::BoxWakes(b) if self.places[b].wakes == Some(at) => {
                 self.places[b].wakes = None;
                 let (now, mut outs) = (self.now(), Vec::new());
-                self.places[b].cache.wake(now, &self.planner, &mut outs);
+                self.places[b].cache.wake(now, self.origin.planner(), &mut outs);
                 self.after_box(b, outs);
             }
-            Due::PlannerWakes if self.planner_wakes == Some(at) => {
-                self.planner_wakes = None;
-                let (now, mut told) = (self.now(), Vec::new());
-                self.planner.wake(now, &mut told);
-                self.after_planner(told);
+            Due::PlannerWakes => {
+                let (now, mut outs) = (self.now(), Vec::new());
+                self.origin.wake(now, at, &mut outs);
+                self.after_origin(outs);
             }
             Due::PlannerAnswers { to, life, id, version } => {
                 let (now, mut outs) = (self.now(), Vec::new());
                 let place = &mut self.places[to];
                 if place.life == life && place.cache.is_up() {
                     let keys = &self.keys;
-                    place.cache.fetched(now, id, version, |key| keys.bytes(key), &self.planner, &mut outs);
+                    place.cache.fetched(
+                        now,
+                        id,
+                        version,
+                        |key| keys.bytes(key),
+                        self.origin.planner(),
+                        &mut outs,
+                    );
                     self.after_box(to, outs);
                 }
             }
@@ -282,11 +287,11 @@
             }
             Due::KeyChanges => {
                 let key = self.chance.below(u64::from(self.day.keys.count)) as u32;
-                self.planner.change(key);
+                self.origin.planner_mut().change(key);
                 self.next_change();
             }
             // Moved since.
-            Due::BoxWakes(_) | Due::PlannerWakes => {}
+            Due::BoxWakes(_) => {}
         }
     }
 
@@ -303,6 +308,11 @@
         self.places[at].mode.subscribe()
     }
 
+    /// How many incidents part the nodes of a depot from a box.
+    pub fn link(&self, from: usize, at: BoxId) -> watch::Receiver<u32> {
+        self.links[from * self.day.depots.len() + self.day.boxes[at].depot].subscribe()
+    }
+
     /// Round trip between a node and a box beyond what loopback takes.
     pub fn round_trip(&mut self, node: NodeId, at: BoxId) -> Duration {
         let network = &self.day.network;
@@ -347,10 +357,12 @@
         fields.into_iter().map(rounded).collect()
     }
 
-    /// A command has come whole to a box: what becomes of it comes by the channel, unless the machine is silent.
+    /// A command has come whole to a box's socket: what becomes of it comes by the channel, unless the box does not
+    /// hear it or its machine is silent.
     pub fn command(
         &mut self,
         at: BoxId,
+        heard: bool,
         opaque: &str,
         reply: oneshot::Sender<Vec<u8>>,
     ) -> Option<(u64, NodeId)> {
@@ -376,10 +388,10 @@
         let job = Job { token, key, bytes: self.keys.bytes(key), work, write, deadline };
         let opaque = opaque.to_string();
         self.waiting.insert(token, Waiting { reply, id, attempt, at, opaque, job });
-        if self.places[at].silent == 0 && self.places[at].cache.is_up() {
+        if heard && self.places[at].silent == 0 && self.places[at].cache.is_up() {
             self.record(Event::Reached { at, node, work, read: write.is_none() });
             let mut outs = Vec::new();
-            self.places[at].cache.request(now, job, &self.planner, &mut outs);
+            self.places[at].cache.request(now, job, self.origin.planner(), &mut outs);
             self.after_box(at, outs);
         }
         Some((token, node))
@@ -391,7 +403,7 @@
         self.record(Event::Ended { id: waiting.id, attempt: waiting.attempt, how: Ended::Cancelled });
         if self.places[waiting.at].cache.is_up() {
             let (now, mut outs) = (self.now(), Vec::new());
-            self.places[waiting.at].cache.cancel(now, token, &self.planner, &mut outs);
+            self.places[waiting.at].cache.cancel(now, token, self.origin.planner(), &mut outs);
             self.after_box(waiting.at, outs);
         }
     }
@@ -400,7 +412,7 @@
         for out in outs {
             match out {
                 BoxOut::Answer(token, answer) => self.box_answers(at, token, answer),
-                BoxOut::Ask { ask, cold } => self.ask_planner(at, ask, cold),
+                BoxOut::Ask { ask, cold } => self.ask_origin(at, ask, cold),
                 BoxOut::Fell => {
                     self.record(Event::BoxFell { of: at });
                     self.end_process(at, Mode::Down);
@@ -449,43 +461,21 @@
         let _ = reply.send(text);
     }
 
-    fn ask_planner(&mut self, by: BoxId, ask: Ask, cold: bool) {
-        self.record(Event::PlannerAsked { by, write: ask.write.is_some(), cold });
-        self.asked += 1;
-        let id = self.asked;
-        if !self.planner.is_down() {
-            self.askers.insert(id, (by, self.places[by].life, ask.id));
-        }
-        let (now, mut told) = (self.now(), Vec::new());
-        self.planner.ask(now, Ask { id, ..ask }, &mut told);
-        self.after_planner(told);
+    fn ask_origin(&mut self, by: BoxId, ask: Ask, cold: bool) {
+        let (now, life, mut outs) = (self.now(), self.places[by].life, Vec::new());
+        self.origin.ask(now, by, life, ask, cold, &mut outs);
+        self.after_origin(outs);
     }
 
-    fn after_planner(&mut self, told: Vec<Told>) {
-        for told in told {
-            match told {
-                Told::Done { id, key, version, wrote } => {
-                    if let Some(version) = version.filter(|_| wrote) {
-                        self.record(Event::Written { key, version });
-                    }
-                    if let Some((to, life, id)) = self.askers.remove(&id) {
-                        let way = self.day.network.same;
-                        self.after(way, Due::PlannerAnswers { to, life, id, version });
-                    }
-                }
-                Told::Stopped => {
-                    self.askers.clear();
-                    let overdriven = self.planner.is_overdriven();
-                    self.record(Event::PlannerStopped { overdriven });
+    fn after_origin(&mut self, outs: Vec<OriginOut>) {
+        for out in outs {
+            match out {
+                OriginOut::Record(event) => self.record(event),
+                OriginOut::Answer { to, life, id, version } => {
+                    let way = self.day.network.same;
+                    self.after(way, Due::PlannerAnswers { to, life, id, version });
                 }
-                Told::Resumed => self.record(Event::PlannerResumed),
-            }
-        }
-        let now = self.now();
-        if let Some(wake) = self.planner.wakes().map(|at| at.max(now + Span(1))) {
-            if self.planner_wakes.is_none_or(|scheduled| wake < scheduled || scheduled <= now) {
-                self.planner_wakes = Some(wake);
-                self.enter(wake, Due::PlannerWakes);
+                OriginOut::WakeAt(at) => self.enter(at, Due::PlannerWakes),
             }
         }
     }
@@ -595,7 +585,7 @@
         let day = self.day.clone();
         let scheduled = &day.incidents[at];
         self.record(Event::Begins { incident: at, what: scheduled.incident.to_string() });
-        let (now, mut told) = (self.now(), Vec::new());
+        let (now, mut outs) = (self.now(), Vec::new());
         match &scheduled.incident {
             Incident::Silent(boxes) => boxes.iter().for_each(|&b| self.silence_box(b)),
             Incident::Slow(boxes, factor) => boxes.iter().for_each(|&b| self.slow_box(b, *factor)),
@@ -603,10 +593,9 @@
             Incident::NodeDeath(nodes) => self.order(nodes, NodeOrder::Kill),
             Incident::NodeRestart(nodes) => self.order(nodes, NodeOrder::Restart),
             Incident::ListOutage => self.list_silent.send_modify(|n| *n += 1),
-            Incident::PlannerSlow(factor) => self.planner.slow_by(*factor),
-            Incident::PlannerSilent => self.planner.silence(now, true, &mut told),
-            // Refused before the day began.
-            Incident::Partition(..) => {}
+            Incident::PlannerSlow(factor) => self.origin.planner_mut().slow_by(*factor),
+            Incident::PlannerSilent => self.origin.silence(now, true, &mut outs),
+            Incident::Partition(a, b) => self.part(*a, *b, true),
             Incident::Drain(boxes) => boxes.iter().for_each(|&b| {
                 let started = self.places[b].cache.started();
                 self.after(day.list.notice, Due::Known(listing(b, Phase::Draining, started)));
@@ -618,7 +607,7 @@
                 self.clients.burst(at, Some((*factor, *share, keys)));
             }
         }
-        self.after_planner(told);
+        self.after_origin(outs);
         if !scheduled.lasts.is_zero() {
             self.after(scheduled.lasts, Due::Ends(at));
         }
@@ -627,7 +616,7 @@
     fn incident_ends(&mut self, at: usize) {
         self.record(Event::Ends { incident: at });
         let day = self.day.clone();
-        let (now, mut told) = (self.now(), Vec::new());
+        let (now, mut outs) = (self.now(), Vec::new());
         match &day.incidents[at].incident {
             Incident::Silent(boxes) => boxes.iter().for_each(|&b| self.unsilence_box(b)),
             Incident::Slow(boxes, factor) => boxes.iter().for_each(|&b| self.slow_box(b, 1.0 / factor)),
@@ -637,16 +626,24 @@
                 self.list_silent.send_modify(|n| *n -= 1);
                 self.spread_news();
             }
-            Incident::PlannerSlow(factor) => self.planner.slow_by(1.0 / factor),
-            Incident::PlannerSilent => self.planner.silence(now, false, &mut told),
+            Incident::PlannerSlow(factor) => self.origin.planner_mut().slow_by(1.0 / factor),
+            Incident::PlannerSilent => self.origin.silence(now, false, &mut outs),
             Incident::Drain(boxes) => boxes.iter().for_each(|&b| {
                 self.stop_box(b);
                 self.after(day.list.notice, Due::Known(listing(b, Phase::Gone, None)));
             }),
             Incident::Burst { .. } => self.clients.burst(at, None),
-            Incident::NodeRestart(_) | Incident::Join(_) | Incident::Partition(..) => {}
+            Incident::Partition(a, b) => self.part(*a, *b, false),
+            Incident::NodeRestart(_) | Incident::Join(_) => {}
+        }
+        self.after_origin(outs);
+    }
+
+    fn part(&mut self, a: usize, b: usize, begins: bool) {
+        let change = |count: &mut u32| if begins { *count += 1 } else { *count = count.saturating_sub(1) };
+        for (from, to) in [(a, b), (b, a)] {
+            self.links[from * self.day.depots.len() + to].send_modify(change);
         }
-        self.after_planner(told);
     }
 
     fn order(&mut self, nodes: &[NodeId], order: NodeOrder) {
--- a/crates/model/src/cache_box.rs
+++ b/crates/model/src/cache_box.rs
@@ -332,6 +332,21 @@
         self.held.len()
     }
 
+    /// Slots that are in use, or wanted by requests that it holds.
+    pub fn wanted_slots(&self) -> usize {
+        self.slots as usize + self.fetched.len() + self.waiting.len()
+    }
+
+    /// It could call the planner for one more key now.
+    pub fn may_fetch(&self) -> bool {
+        self.fetches_out < self.spec.fetch_places
+    }
+
+    /// A request for this key would join a call to the planner that is out.
+    pub fn fetches(&self, key: KeyId) -> bool {
+        self.spec.joins && self.joinable.contains_key(&key)
+    }
+
     /// Copies that it keeps.
     pub fn kept(&self) -> usize {
         self.store.len()
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod keys;
 pub mod list;
 mod locate;
+pub mod origin;
 pub mod planner;
 pub mod policy;
 pub mod range;
--- a/crates/model/src/world/attempts.rs
+++ b/crates/model/src/world/attempts.rs
@@ -17,7 +17,18 @@
         let now = self.now.as_secs();
         while let Some(event) = self.hosts[node].events.pop_front() {
             let mut actions = std::mem::take(&mut self.actions);
-            self.hosts[node].policy.handle(now, event, &mut actions);
+            let Host { policy, tries, depot, .. } = &mut self.hosts[node];
+            let eyes = Eyes {
+                day: self.day,
+                boxes: &self.boxes,
+                servers: &self.servers,
+                planner: self.origin.planner(),
+                parted: &self.parted,
+                depot: *depot,
+                now: self.now,
+                asked: Asked::Tries(tries),
+            };
+            policy.handle(now, event, &eyes, &mut actions);
             for action in actions.drain(..) {
                 self.carry_out(node, action);
             }
@@ -78,8 +89,10 @@
             box_life: self.boxes[to].life,
             job,
             written: false,
+            arrived: false,
         };
         self.flights.insert(flight);
+        self.boxes[to].coming += 1;
         if let Some(live) = self.hosts[node].tries.get_mut(&id) {
             live.attempts.push(Attempt { since: now, flight: Some(token) });
         }
@@ -184,11 +197,19 @@
         self.hosts[node].events.push_back(decisions::Event::Outcome(outcome));
     }
 
+    /// A flight is over.
+    fn land(&mut self, token: u64) {
+        let flight = self.flights.remove(place_of(token));
+        if !flight.arrived {
+            self.boxes[flight.to].coming -= 1;
+        }
+    }
+
     /// A flight ends at its node with this status; its connection, if it had one, is of no use any more.
     pub(super) fn end_flight(&mut self, token: u64, status: Status) {
         let Some(flight) = self.flight(token) else { return };
         let (node, node_life, id, attempt) = (flight.node, flight.node_life, flight.id, flight.attempt);
-        self.flights.remove(place_of(token));
+        self.land(token);
         if self.lives(node, node_life) {
             self.end_attempt(node, id, attempt, status, None);
             self.settle(node, id);
@@ -228,7 +249,7 @@
     pub(super) fn hang_up(&mut self, token: u64) {
         let Some(flight) = self.flight(token) else { return };
         let (node, to, life, written) = (flight.node, flight.to, flight.box_life, flight.written);
-        self.flights.remove(place_of(token));
+        self.land(token);
         if written {
             self.record(Event::Closed { to });
             let way = self.way(self.hosts[node].depot, self.day.boxes[to].depot);
@@ -287,7 +308,7 @@
         let (node, life, id, attempt, to) =
             (flight.node, flight.node_life, flight.id, flight.attempt, flight.to);
         let box_life = flight.box_life;
-        self.flights.remove(place_of(token));
+        self.land(token);
         if !self.lives(node, life) {
             return;
         }
--- a/crates/model/tests/world.rs
+++ b/crates/model/tests/world.rs
@@ -1,10 +1,13 @@
 //! Whole days: alike for the same seed, and clean whatever happens on them.
 
-use hallpin_model::policy;
+use std::collections::BTreeSet;
+
+use hallpin_decisions::{self as decisions, Action, AttemptId, RequestId, RosterNews, ServerId, TimerToken};
+use hallpin_model::policy::{self, Policy, Sight};
 use hallpin_model::referee::{Loss, Referee, Verdict};
 use hallpin_model::scenario::Scenario;
 use hallpin_model::time::Time;
-use hallpin_model::trace::{Event, Line};
+use hallpin_model::trace::{Ended, Event, How, Line};
 use hallpin_model::world::World;
 
 fn scenario(incidents: &str) -> Scenario {
@@ -208,3 +211,90 @@
     assert!(again > 20, "{again} came again");
     assert!(received.values().all(|n| *n == 1));
 }
+
+/// Gives each first attempt up after a fixed time and sends the request to another box.
+#[derive(Default)]
+struct Impatient {
+    servers: Vec<ServerId>,
+    open: BTreeSet<u64>,
+}
+
+impl Impatient {
+    const PATIENCE: f64 = 0.03;
+
+    fn send(&self, request: u64, attempt: u64, actions: &mut Vec<Action>) {
+        let server = self.servers[(request + attempt) as usize % self.servers.len()].clone();
+        actions.push(Action::Send { request: RequestId(request), server, timeout: None });
+    }
+}
+
+impl Policy for Impatient {
+    fn handle(&mut self, _: f64, event: decisions::Event, _: &dyn Sight, actions: &mut Vec<Action>) {
+        match event {
+            decisions::Event::Roster(RosterNews::Cached(list) | RosterNews::Full(list)) => {
+                self.servers = list.into_iter().map(|entry| entry.server).collect();
+            }
+            decisions::Event::Request(new) => {
+                self.open.insert(new.id.0);
+                self.send(new.id.0, 0, actions);
+                actions.push(Action::SetTimer { token: TimerToken(new.id.0), after: Self::PATIENCE });
+            }
+            decisions::Event::Timer(TimerToken(id)) if self.open.contains(&id) => {
+                actions.push(Action::Cancel { request: RequestId(id), attempt: AttemptId(0) });
+                self.send(id, 1, actions);
+            }
+            decisions::Event::Outcome(outcome) if outcome.finished => {
+                self.open.remove(&outcome.request.0);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// An answer that is on its way when its attempt is cancelled is nobody's: the other attempt's is given, once.
+#[test]
+fn an_answer_that_crosses_a_cancel_is_dropped_and_the_request_is_answered_once() {
+    let day =
+        scenario("[[classes]]\nname = \"lookup\"\nwork = \"10ms\"\naim = \"500ms\"\ndeadline = \"1s\"\n")
+            .draw(1)
+            .expect("a day");
+    let (mut events, mut referee) = (Vec::new(), Referee::new(&day));
+    let sink = |at: Time, event: &Event| {
+        events.push(event.clone());
+        hallpin_model::trace::Sink::record(&mut referee, at, event);
+    };
+    let start = |_, _| Ok(Box::<Impatient>::default() as Box<dyn Policy>);
+    let _ = World::new(&day, &start, sink).expect("a world").run();
+    let worked: BTreeSet<u64> = events
+        .iter()
+        .scan(BTreeSet::new(), |worked, event| {
+            let crossed = match event {
+                Event::Worked { id, attempt: 0, .. } => {
+                    worked.insert(*id);
+                    None
+                }
+                Event::Ended { id, attempt: 0, how } => {
+                    (worked.remove(id) && *how == Ended::Cancelled).then_some(*id)
+                }
+                _ => None,
+            };
+            Some(crossed)
+        })
+        .flatten()
+        .collect();
+    assert!(worked.len() > 5, "too few answers crossed a cancel: {}", worked.len());
+    for id in worked {
+        let answers: Vec<&How> = events
+            .iter()
+            .filter_map(|e| match e {
+                Event::Answered { id: of, how, .. } if *of == id => Some(how),
+                _ => None,
+            })
+            .collect();
+        assert!(answers.len() <= 1, "{id}: {answers:?}");
+        let second = |e: &Event| matches!(e, Event::Ended { id: of, attempt: 1, .. } if *of == id);
+        assert!(events.iter().any(second), "{id}: the other attempt went its way");
+    }
+    let verdict = referee.verdict();
+    assert!(verdict.is_clean(), "{:?}", verdict.told);
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -218,6 +218,9 @@
     /// How the lines of the log look, on standard error; HALLPIN_LOG filters them
     #[arg(long, value_name = "FORMAT", default_value = "human")]
     pub log: log::Format,
+    /// End at once when standard input closes, for whoever starts nodes and must not leave them behind
+    #[arg(long)]
+    pub end_with_input: bool,
 }
 
 /// Why a node ended otherwise than by being told to.
@@ -241,8 +244,18 @@
     }
 }
 
+/// Ends the process when standard input does: whoever held the other end is gone, and so is all that waited for answers.
+fn end_with_input() {
+    let read = std::io::copy(&mut std::io::stdin().lock(), &mut std::io::sink());
+    info!(?read, "standard input has ended");
+    std::process::exit(1);
+}
+
 fn block_on(options: Options) -> Result<(), Failure> {
     log::start(options.log)?;
+    if options.end_with_input {
+        std::thread::spawn(end_with_input);
+    }
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(Failure::Runtime)?;
     LocalSet::new().block_on(&runtime, run(options))
