Tell a node's death on sockets only once its last answers have been read

Change: the stand-in tells the death when the process has ended and the clients have read what it wrote; until then nothing more counts as taken by it.

--- a/crates/fleet/src/sockets/node.rs
+++ b/crates/fleet/src/sockets/node.rs
@@ -25,6 +25,8 @@
 const ASK_AGAIN: Duration = Duration::from_millis(20);
 /// What a node that was told to stop is given beyond its longest deadline.
 const LEAVE: Duration = Duration::from_millis(700);
+/// Twice this passes between the end of a process and the word of it.
+const READ_WITHIN: Duration = Duration::from_millis(5);
 /// After a planned stop the node is started again this much later.
 const BACK_AFTER: Duration = Duration::from_millis(500);
 
@@ -130,10 +132,12 @@
             };
             if order == NodeOrder::Kill {
                 let killed = child.start_kill();
-                // What it had taken until now is gone with it.
-                stage.borrow_mut().node_down(self.node, false);
+                stage.borrow_mut().node_ends(self.node);
                 let ended = async { killed.and(child.wait().await.map(drop)) };
                 ended.await.map_err(|error| SocketsError::Node(self.node, error.to_string()))?;
+                last_answers().await;
+                // What it had taken and not answered by now is gone with it.
+                stage.borrow_mut().node_down(self.node, false);
                 if orders.wait_for(|order| *order != NodeOrder::Kill).await.is_err() {
                     return Ok(());
                 }
@@ -146,6 +150,8 @@
             if tokio::time::timeout_at(until, child.wait()).await.is_err() {
                 child.kill().await.map_err(|error| SocketsError::Node(self.node, error.to_string()))?;
             }
+            stage.borrow_mut().node_ends(self.node);
+            last_answers().await;
             stage.borrow_mut().node_down(self.node, true);
             sleep(BACK_AFTER).await;
             stage.borrow().node_orders[self.node].send_replace(NodeOrder::Run);
@@ -154,6 +160,13 @@
     }
 }
 
+/// Lets clients read what a process wrote before it ended. All of it lies in their sockets: the first sleep ends with a
+/// look at these that wakes them, and by the end of the second, behind them in the queue, they have run.
+async fn last_answers() {
+    sleep(READ_WITHIN).await;
+    sleep(READ_WITHIN).await;
+}
+
 fn process(child: &Child) -> Option<Pid> {
     child.id().and_then(|id| i32::try_from(id).ok()).and_then(Pid::from_raw)
 }
--- a/crates/fleet/src/sockets/stage.rs
+++ b/crates/fleet/src/sockets/stage.rs
@@ -559,12 +559,17 @@
         self.nodes_alive[node] = true;
     }
 
-    pub fn node_down(&mut self, node: NodeId, planned: bool) {
-        self.record(Event::NodeDown { node, planned });
+    /// Its process takes nothing any more.
+    pub fn node_ends(&mut self, node: NodeId) {
         self.nodes_up[node] = false;
         self.nodes_alive[node] = false;
     }
 
+    /// All that its process had answered has been read.
+    pub fn node_down(&mut self, node: NodeId, planned: bool) {
+        self.record(Event::NodeDown { node, planned });
+    }
+
     // ---- Clients --------------------------------------------------------------------------------------
 
     /// Carries out what clients do next, and says which tries are due when.
