Add hallpin load: open-loop load, latency from the meant time, honest about itself

Need: a change to routing or limits must be decided by figures that repeat, and a generator that waits for answers leaves out the requests that a slow node hurt.

Change: hallpin_lab::load: schedules (Poisson, even, bursts, curves, traces of emulate), mixes (classes, tenants, Zipf with drift), pipelines or a connection a request, retries that heed advice, slow and half-open crowds, HDR histograms by outcome that merge, are saved and read back, and a report that says when the generator itself was the bottleneck.

--- a/crates/hallpin/src/failure.rs
+++ b/crates/hallpin/src/failure.rs
@@ -4,6 +4,7 @@
 
 use hallpin_fleet::{PlayError, SocketsError};
 use hallpin_lab::chart::ChartError;
+use hallpin_lab::load::LoadError;
 use hallpin_model::scenario::{Scenario, Unreadable};
 
 /// Something that could not be done.
@@ -21,6 +22,9 @@
     /// A day on sockets was not played to its end.
     #[error(transparent)]
     Sockets(#[from] SocketsError),
+    /// Nothing could be sent, or a run could not be saved or read back.
+    #[error(transparent)]
+    Load(#[from] LoadError),
     /// A chart was not drawn.
     #[error(transparent)]
     Chart(#[from] ChartError),
--- a/crates/hallpin/src/main.rs
+++ b/crates/hallpin/src/main.rs
@@ -3,6 +3,7 @@
 mod check;
 mod emulate;
 mod failure;
+mod load;
 mod schema;
 mod sockets;
 mod try_out;
@@ -44,6 +45,15 @@
         hallpin emulate scenarios/snow.toml --seed 7 --trace day.jsonl --chart day.svg\n  \
         hallpin emulate scenarios/snow.toml --seeds 20 --policy all --json snow.json")]
     Emulate(emulate::Options),
+    /// Sends open-loop load at nodes, and says what came of it
+    #[command(after_help = "Examples:\n  \
+        hallpin load --target 127.0.0.1:7001 --target 127.0.0.1:7002 --rate 5000 --length 30s\n  \
+        hallpin load --target 127.0.0.1:7001 --bursts 10s:1s:5 --class lookup:9 --class report:1:64 --tries 3\n  \
+        hallpin load --target 127.0.0.1:7001 --curve 0s:0.2,30s:1,60s:0.2 --length 60s --json day.json\n  \
+        hallpin load --target 127.0.0.1:7001 --trace day.jsonl --save run.hlog\n  \
+        hallpin load --read one.hlog two.hlog\n  \
+        hallpin load --target stand-in --rate 100000 --connections 16 --pipeline 64")]
+    Load(Box<load::Options>),
     /// Reads files and says what is wrong with them, as FILE:LINE:COLUMN: FIELD: WHAT
     #[command(after_help = "Examples:\n  hallpin check scenarios/*.toml")]
     Check(check::Options),
@@ -65,6 +75,7 @@
         Command::Node(options) => Ok(hallpin_node::main(options)),
         Command::Try(options) => try_out::run(&options),
         Command::Emulate(options) => emulate::run(&options),
+        Command::Load(options) => load::run(&options),
         Command::Check(options) => check::run(&options),
         Command::Schema(options) => schema::run(&options),
         Command::Completions { shell } => {
