--- a/crates/lab/src/load/stand_in.rs
+++ b/crates/lab/src/load/stand_in.rs
@@ -108,7 +108,24 @@
         let mut answered = 0;
         while stream.read_buf(&mut input).await? > 0 {
             while let Some(call) = cache_server::next_call(&mut input) {
-                let Call::Command(command) = call else { continue };
+                let command = match call {
+                    Call::Command(command) => command,
+                    Call::Ready => {
+                        output.extend_from_slice(b"MN\r\n");
+                        continue;
+                    }
+                    Call::Load => {
+                        output.extend_from_slice(&cache_server::load(&[]));
+                        continue;
+                    }
+                    Call::Bad { answer, close } => {
+                        output.extend_from_slice(answer.as_bytes());
+                        if close {
+                            return stream.write_all(&output).await;
+                        }
+                        continue;
+                    }
+                };
                 let opaque = command.opaque();
                 let opaque = String::from_utf8_lossy(&opaque);
                 let seen = self.seen.fetch_add(1, Ordering::Relaxed);
