Give each request one effect key over its tries, and write every byte of a slow connection

Need: read once more, two faults of hallpin load: a keyed write that came again had another idempotency key than its first try, and a slow connection could lose a byte where the socket was not ready after all.

Change: a request has an id of its own, from which its effect key is made; slow connections write and read through the runtime.

--- a/crates/lab/src/load/connection.rs
+++ b/crates/lab/src/load/connection.rs
@@ -33,8 +33,8 @@
     let mix = &shared.spec.mix;
     let class = &mix.classes[pending.wanted.class];
     let opaque = format!("{id:x}");
-    // A retry of a keyed write must be known as one, so that the key is of the request.
-    let effect = class.writes.map(|_| format!("{:016x}", pending.meant.as_nanos() as u64 ^ id << 40));
+    // The key is of the request, not of the try, so that a write that comes again is known as one.
+    let effect = class.writes.map(|_| format!("{:016x}", pending.request));
     let value = class.writes.map(|bytes| vec![b'x'; bytes]);
     let ask = Ask {
         key: &keys::name(pending.wanted.key),
--- a/crates/lab/src/load/crowd.rs
+++ b/crates/lab/src/load/crowd.rs
@@ -22,9 +22,9 @@
 /// Sends requests byte by byte and reads their answers so, one after the other.
 pub(super) async fn slow(shared: Rc<Shared>, target: SocketAddr, number: usize) {
     while !shared.is_over() {
-        if let Ok(stream) = TcpStream::connect(target).await {
-            while let Ok(answered) = one_slowly(&shared, &stream, number).await {
-                shared.ledger.borrow_mut().counts.slow_answered += u64::from(answered);
+        if let Ok(mut stream) = TcpStream::connect(target).await {
+            while one_slowly(&shared, &mut stream, number).await.is_ok() {
+                shared.ledger.borrow_mut().counts.slow_answered += 1;
             }
             shared.ledger.borrow_mut().counts.slow_cut_off += u64::from(!shared.is_over());
         }
@@ -32,50 +32,24 @@
     }
 }
 
-async fn one_slowly(shared: &Shared, stream: &TcpStream, number: usize) -> std::io::Result<bool> {
+async fn one_slowly(shared: &Shared, stream: &mut TcpStream, number: usize) -> std::io::Result<()> {
     let wanted = Wanted { class: 0, tenant: None, key: number as u32 };
     // Its client waits for as long as it takes.
     let until = shared.now() + shared.spec.wait * 100;
-    let pending = Pending { meant: shared.now(), wanted, until, tries: 1 };
-    let mut stream = SlowStream(stream);
-    stream.write(&text(shared, &pending, shared.id())).await?;
+    let request = shared.id();
+    let pending = Pending { request, meant: shared.now(), wanted, until, tries: 1 };
+    for byte in text(shared, &pending, shared.id()) {
+        stream.write_all(&[byte]).await?;
+        sleep(A_BYTE).await;
+    }
     let mut input = BytesMut::new();
     loop {
         match next_answer(&mut input) {
-            Ok(Some(_)) => return Ok(true),
-            Ok(None) => stream.read(&mut input).await?,
+            Ok(Some(_)) => return Ok(()),
+            Ok(None) => input.extend_from_slice(&[stream.read_u8().await?]),
             Err(_) => return Err(std::io::ErrorKind::InvalidData.into()),
         }
-    }
-}
-
-struct SlowStream<'a>(&'a TcpStream);
-
-impl SlowStream<'_> {
-    async fn write(&mut self, bytes: &[u8]) -> std::io::Result<()> {
-        for byte in bytes.chunks(1) {
-            self.0.writable().await?;
-            if let Err(error) = self.0.try_write(byte) {
-                if error.kind() != std::io::ErrorKind::WouldBlock {
-                    return Err(error);
-                }
-            }
-            sleep(A_BYTE).await;
-        }
-        Ok(())
-    }
-
-    async fn read(&mut self, input: &mut BytesMut) -> std::io::Result<()> {
-        self.0.readable().await?;
-        let mut byte = [0];
-        match self.0.try_read(&mut byte) {
-            Ok(0) => return Err(std::io::ErrorKind::UnexpectedEof.into()),
-            Ok(_) => input.extend_from_slice(&byte),
-            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return Ok(()),
-            Err(error) => return Err(error),
-        }
         sleep(A_BYTE).await;
-        Ok(())
     }
 }
 
--- a/crates/lab/src/load/worker.rs
+++ b/crates/lab/src/load/worker.rs
@@ -29,6 +29,8 @@
 /// A request on its way through the generator. Times count from the start.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Pending {
+    /// An id of its own, over all its tries.
+    pub request: u64,
     pub meant: Duration,
     pub wanted: Wanted,
     /// When its client stops waiting.
@@ -68,7 +70,7 @@
         (self.start + at).into()
     }
 
-    /// An id that no other thread gives.
+    /// An id that no other thread gives, and this one not again.
     pub fn id(&self) -> u64 {
         self.ids.set(self.ids.get() + 1);
         (self.number as u64) << 48 | self.ids.get()
@@ -251,7 +253,8 @@
                 },
                 None => mix.draw(),
             };
-            let pending = Pending { meant: due.at, wanted, until: due.at + spec.wait, tries: 0 };
+            let request = shared.id();
+            let pending = Pending { request, meant: due.at, wanted, until: due.at + spec.wait, tries: 0 };
             if shared.queue.borrow().len() < spec.backlog {
                 shared.queue.borrow_mut().push_back(pending);
             } else {
