Hear signals in one place, and keep the load generator's retries in one map

Change: terminal.rs has the bar and the signals for all long calls; retries are one ordered map; one loop ends what has expired; workers' ledgers merge into an empty one. Behaviour and tests stay.

--- a/crates/hallpin/src/emulate.rs
+++ b/crates/hallpin/src/emulate.rs
@@ -12,6 +12,7 @@
 
 use crate::failure::{self, Failure};
 use crate::sockets;
+use crate::terminal::progress;
 
 /// A policy, or all of them.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -114,7 +115,7 @@
                     .collect::<Result<_, Failure>>()?
             } else {
                 let days = (seeds.len() * kinds.len()) as u64;
-                let bar = sockets::progress(days, "{bar:40} {pos}/{len} days, {eta} to go");
+                let bar = progress(days, "{bar:40} {pos}/{len} days, {eta} to go");
                 let played = play_all(&scenario, &seeds, &kinds, &|| bar.inc(1));
                 bar.finish_and_clear();
                 played?
--- a/crates/hallpin/src/load.rs
+++ b/crates/hallpin/src/load.rs
@@ -15,10 +15,9 @@
 use hallpin_lab::load::{self, LoadSpec, Progress};
 use hallpin_model::day::KeysSpec;
 use serde::Deserialize;
-use tokio::signal::unix::{signal, SignalKind};
 
 use crate::failure::{self, Failure};
-use crate::sockets::progress;
+use crate::terminal::{at_signal, progress};
 
 /// How requests follow each other.
 #[derive(Clone, Copy, Debug, ValueEnum)]
@@ -135,7 +134,8 @@
     let spec = spec(options, stand_in.as_ref().map(|stand_in| stand_in.address))?;
     let so_far = Arc::new(Progress::default());
     let (stop, done) = (Arc::clone(&so_far), Arc::new(std::sync::atomic::AtomicBool::new(false)));
-    std::thread::spawn(move || stop_at_signal(&stop));
+    // Nothing more leaves then, and what has happened so far is told.
+    at_signal(move || stop.stop.store(true, Ordering::Relaxed));
     let (watched, finished, length) = (Arc::clone(&so_far), Arc::clone(&done), options.length);
     let watcher = std::thread::spawn(move || watch(&watched, &finished, length));
     let began = Instant::now();
@@ -249,23 +249,6 @@
     bar.finish_and_clear();
 }
 
-/// At the first SIGINT or SIGTERM nothing more leaves, and what has happened so far is told.
-fn stop_at_signal(so_far: &Progress) {
-    let Ok(runtime) = tokio::runtime::Builder::new_current_thread().enable_all().build() else { return };
-    runtime.block_on(async {
-        let (Ok(mut interrupt), Ok(mut terminate)) =
-            (signal(SignalKind::interrupt()), signal(SignalKind::terminate()))
-        else {
-            return;
-        };
-        tokio::select! {
-            _ = interrupt.recv() => {}
-            _ = terminate.recv() => {}
-        }
-        so_far.stop.store(true, Ordering::Relaxed);
-    });
-}
-
 fn positive(text: &str) -> Result<f64, String> {
     let good = text.parse().ok().filter(|n: &f64| n.is_finite() && *n > 0.0);
     good.ok_or_else(|| "a number above 0 expected".into())
--- a/crates/hallpin/src/main.rs
+++ b/crates/hallpin/src/main.rs
@@ -6,6 +6,7 @@
 mod load;
 mod schema;
 mod sockets;
+mod terminal;
 mod try_out;
 
 use std::io;
--- a/crates/lab/src/load/mod.rs
+++ b/crates/lab/src/load/mod.rs
@@ -141,20 +141,11 @@
             std::thread::spawn(move || worker::run(&spec, number, mix, start, progress))
         })
         .collect();
-    let mut whole: Option<Ledger> = None;
-    let mut failed = None;
-    for (number, thread) in threads.into_iter().enumerate() {
-        match thread.join().map_err(|_| LoadError::Worker(number)).and_then(|ended| ended) {
-            Ok(ledger) => match &mut whole {
-                Some(whole) => whole.merge(&ledger),
-                None => whole = Some(ledger),
-            },
-            Err(error) => failed = Some(error),
-        }
-    }
-    match (failed, whole) {
-        (None, Some(whole)) => Ok(whole),
-        (Some(error), _) => Err(error),
-        (None, None) => Err(LoadError::None("workers")),
+    // All are waited for before any of them can fail the run.
+    let ended: Vec<_> = threads.into_iter().map(std::thread::JoinHandle::join).collect();
+    let mut whole = Ledger::default();
+    for (number, ended) in ended.into_iter().enumerate() {
+        whole.merge(&ended.map_err(|_| LoadError::Worker(number))??);
     }
+    Ok(whole)
 }
--- a/crates/lab/src/load/worker.rs
+++ b/crates/lab/src/load/worker.rs
@@ -1,8 +1,7 @@
 //! One thread of the generator: hands each request whose time has come to a connection that is free for it.
 
 use std::cell::{Cell, RefCell};
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -45,9 +44,8 @@
     start: Instant,
     number: usize,
     queue: RefCell<VecDeque<Pending>>,
-    /// Refused ones that come again, by when.
-    later: RefCell<BinaryHeap<Reverse<(Duration, u64)>>>,
-    waiting: RefCell<rustc_hash::FxHashMap<u64, Pending>>,
+    /// Those that come again, by when, and by their own id.
+    later: RefCell<BTreeMap<(Duration, u64), Pending>>,
     ids: Cell<u64>,
     /// Connections with room, the one that last had work at the end.
     free: RefCell<Vec<usize>>,
@@ -83,13 +81,8 @@
 
     /// The next request to send whose client still waits.
     pub fn next(&self) -> Option<Pending> {
-        loop {
-            let pending = self.queue.borrow_mut().pop_front()?;
-            if pending.until > self.now() {
-                return Some(pending);
-            }
-            self.end(pending, Outcome::Unsent);
-        }
+        self.sweep(self.now());
+        self.queue.borrow_mut().pop_front()
     }
 
     /// There is something to send.
@@ -139,37 +132,23 @@
         if !harmless || pending.tries >= self.spec.tries || at >= pending.until {
             return self.end(pending, outcome);
         }
-        let id = self.id();
-        self.later.borrow_mut().push(Reverse((at, id)));
-        self.waiting.borrow_mut().insert(id, pending);
+        self.later.borrow_mut().insert((at, pending.request), pending);
     }
 
     /// Puts what is due in the queue; says when the next one is.
     fn due_again(&self, now: Duration) -> Option<Duration> {
         let mut later = self.later.borrow_mut();
-        while let Some(Reverse((at, id))) = later.peek().copied() {
-            if at > now {
-                return Some(at);
-            }
-            later.pop();
-            if let Some(pending) = self.waiting.borrow_mut().remove(&id) {
-                self.queue.borrow_mut().push_back(pending);
-            }
+        while let Some(first) = later.first_entry().filter(|first| first.key().0 <= now) {
+            self.queue.borrow_mut().push_back(first.remove());
         }
-        None
+        later.keys().next().map(|(at, _)| *at)
     }
 
     /// Ends what nobody waits for any more though no connection was free for it.
     fn sweep(&self, now: Duration) {
-        loop {
-            let first = self.queue.borrow().front().copied();
-            match first.filter(|pending| pending.until <= now) {
-                Some(pending) => {
-                    self.queue.borrow_mut().pop_front();
-                    self.end(pending, Outcome::Unsent);
-                }
-                None => return,
-            }
+        let mut queue = self.queue.borrow_mut();
+        while let Some(pending) = queue.pop_front_if(|pending| pending.until <= now) {
+            self.end(pending, Outcome::Unsent);
         }
     }
 }
@@ -191,7 +170,6 @@
         number,
         queue: RefCell::default(),
         later: RefCell::default(),
-        waiting: RefCell::default(),
         ids: Cell::new(0),
         free: RefCell::default(),
         is_free: vec![Cell::new(false); connections],
@@ -271,10 +249,10 @@
         shared.call();
         if next.is_none() && (shared.open.get() == 0 || shared.progress.stopped()) {
             shared.over.set(true);
-            let left: Vec<Pending> = shared.queue.borrow_mut().drain(..).collect();
-            let waiting: Vec<Pending> =
-                shared.waiting.borrow_mut().drain().map(|(_, pending)| pending).collect();
-            left.into_iter().chain(waiting).for_each(|pending| shared.end(pending, Outcome::Unsent));
+            let (left, later) = (shared.queue.take(), shared.later.take());
+            left.into_iter()
+                .chain(later.into_values())
+                .for_each(|pending| shared.end(pending, Outcome::Unsent));
             shared.wakes.iter().for_each(Notify::notify_one);
             return;
         }
