Carry out the balancer's probes, so that a server that was taken out comes back

Seen: where the settings allow probes, as this deployment's do, a real node that had taken a server out never sent it anything again until the list told of a new start. Reading: the module asks for a probe and, as probes are allowed, risks no read; the shell dropped the action. Ruled out: the module (a probe that succeeds readmits, tests/rules.rs) and the rig's settings, which left probes out, so that no test of a real node met this path. At fault: driver.rs, `Action::Probe(_) => {}`.

Now the shell asks `mn` on a connection of the pool, within twice the time that a connection may take to come up, and hands the outcome in. What attempts and probes share of opening a connection is one function.

Test: a_server_that_was_taken_out_comes_back_after_a_probe.

--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -170,6 +170,7 @@
                 self.end(request, attempt, ended);
                 self.drain();
             }
+            Message::Probed { server, status } => self.handle(Event::Probed { server, status }),
             Message::Roster(roster) => {
                 let news = if roster.complete { RosterNews::Full } else { RosterNews::Delta };
                 self.roster(roster, news);
@@ -307,8 +308,9 @@
                     info!(target: "hallpin_node::balancer", suppressed, "{text}");
                 }
             }
-            // This protocol has neither where the settings do not allow them, and the balancer knows.
-            Action::Probe(_) | Action::Tell(_) => {}
+            Action::Probe(server) => self.probe(server),
+            // The nodes of this deployment have no wire between them, and the balancer sends nothing on it.
+            Action::Tell(_) => {}
         }
     }
 
@@ -317,6 +319,17 @@
         let _ = self.calls.try_send(call);
     }
 
+    /// The balancer has one out at a time: it waits longer between two than one lasts.
+    fn probe(&self, server: ServerId) {
+        let (upstream, messages) = (self.upstream.clone(), self.messages.clone());
+        tokio::task::spawn_local(async move {
+            let status = upstream.probe(&server).await;
+            debug!(server = %server.0, ?status, "probe");
+            // The driver is gone only when the program ends.
+            let _ = messages.send(Message::Probed { server, status });
+        });
+    }
+
     fn send(&mut self, id: RequestId, server: ServerId, timeout: Option<Seconds>) {
         let now = self.now;
         let Some(live) = self.requests.get_mut(&id) else { return };
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -1,6 +1,6 @@
 //! What the parts of the node tell each other.
 
-use hallpin_decisions::{AttemptId, RequestId};
+use hallpin_decisions::{AttemptId, RequestId, ServerId, Status};
 use hallpin_protocol::Command;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -25,6 +25,11 @@
         attempt: AttemptId,
         ended: Ended,
     },
+    /// A probe has ended.
+    Probed {
+        server: ServerId,
+        status: Status,
+    },
     Roster(Roster),
     RosterFailed,
     /// An operator asks what the list holds.
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -319,6 +319,45 @@
         Ok(Connection { stream, _slot: slot })
     }
 
+    /// A connection on which this server may be written to now.
+    async fn open(&self, server: &ServerId, until: Instant) -> Result<Connection, Status> {
+        let connection = match self.kept(server).await {
+            Some(connection) => connection,
+            None => self.connect(server, until).await?,
+        };
+        // The list may have changed during the wait for the connection.
+        if !self.may_send(server, &connection) {
+            self.keep(server, connection);
+            return Err(Status::Unreachable);
+        }
+        Ok(connection)
+    }
+
+    /// Asks a server whether it is ready. It has as long to answer as a connection has to come up.
+    pub async fn probe(&self, server: &ServerId) -> Status {
+        let until = Instant::now() + self.bounds.dial * 2;
+        let asked = async {
+            let mut connection = self.open(server, until).await?;
+            let broken = |_| Status::Broken;
+            connection.stream.write_all(protocol::PROBE).await.map_err(broken)?;
+            let mut buf = BytesMut::new();
+            let ready = loop {
+                match protocol::next_probed(&mut buf) {
+                    Ok(Some(ready)) => break ready,
+                    Ok(None) if connection.stream.read_buf(&mut buf).await.map_err(broken)? > 0 => {}
+                    Ok(None) => return Err(Status::Broken),
+                    Err(protocol::Malformed) => return Err(SPOILT),
+                }
+            };
+            if buf.is_empty() {
+                self.keep(server, connection);
+            }
+            Ok(if ready { Status::Success } else { Status::Error })
+        };
+        let status = timeout_at(until, asked).await.unwrap_or(Err(Status::TimedOut));
+        status.unwrap_or_else(|failed| failed)
+    }
+
     /// One attempt. `written` is set once the last byte is: from then on the command may have run. Dropping
     /// the future closes the connection, which gives the attempt up.
     pub async fn attempt(
@@ -328,18 +367,10 @@
         until: Instant,
         written: &Cell<bool>,
     ) -> Ended {
-        let mut connection = match self.kept(server).await {
-            Some(connection) => connection,
-            None => match self.connect(server, until).await {
-                Ok(connection) => connection,
-                Err(status) => return status.into(),
-            },
+        let mut connection = match self.open(server, until).await {
+            Ok(connection) => connection,
+            Err(status) => return status.into(),
         };
-        // The list may have changed during the wait for the connection.
-        if !self.may_send(server, &connection) {
-            self.keep(server, connection);
-            return Status::Unreachable.into();
-        }
         let text = command.forward(until.saturating_duration_since(Instant::now()));
         if connection.stream.write_all(&text).await.is_err() {
             return Status::Unreachable.into();
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -5,8 +5,9 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::process::Command;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Sender};
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
 use rig::*;
@@ -214,6 +215,30 @@
     }
 }
 
+/// Where the settings allow probes, a server that was taken out is asked and comes back; no read is risked.
+#[test]
+fn a_server_that_was_taken_out_comes_back_after_a_probe() {
+    let sick = Arc::new(AtomicBool::new(true));
+    let (good, told) = (CacheServer::start(|_| Act::Serve), sick.clone());
+    let server = CacheServer::start(move |line| match (told.load(Ordering::SeqCst), line) {
+        (true, _) => Act::SayAndClose(Vec::new()),
+        (false, "mn") => Act::Say(b"MN\r\n".to_vec()),
+        (false, _) => Act::Serve,
+    });
+    let known = [member("s-1", good.address, "ready"), member("s-2", server.address, "ready")];
+    let (_list, discovery) = List::start(&known);
+    let node = Setup { known: known.join(","), probes: true, ..Setup::default() }.start(discovery);
+    let mut client = node.connect();
+    let mut n = 0;
+    while node.figure("app_members_unavailable") == 0 {
+        n += 1;
+        client.ask(&read(&format!("key{n}"), &format!("p{n}"), 9000));
+    }
+    sick.store(false, Ordering::SeqCst);
+    node.reaches("app_members_unavailable", 0);
+    assert!(server.commands().iter().any(|line| line == "mn"));
+}
+
 /// A value that breaks off is not passed on; the read goes to the other server.
 #[test]
 fn only_whole_answers_are_passed_on() {
--- a/crates/node/tests/rig/mod.rs
+++ b/crates/node/tests/rig/mod.rs
@@ -264,6 +264,7 @@
 /// Values of the configuration that tests change.
 pub struct Setup {
     pub sockets: usize,
+    pub probes: bool,
     pub round_s: f64,
     pub idle_close_s: f64,
     pub known: String,
@@ -280,6 +281,7 @@
     fn default() -> Self {
         Setup {
             sockets: 1024,
+            probes: false,
             round_s: 0.005,
             idle_close_s: 60.0,
             known: String::new(),
@@ -302,9 +304,9 @@
             "tenants":[{{"name":"acme","quota-per-s":1000.0}}],"family-info":{{"mode":"through"}},
             "guarantees":{{"grace-to-answer-s":0.02,"ask-every-s":10,"cold-from":0.3,"ramp-time-s":8,
                 "drain-grace-s":0.5,"fall-multiple":3,"fall-s":1}},
-            "limits":{{"cancel":true,"max-attempts":4,"parallel-tries":true,"retry-after":true,
+            "limits":{{"cancel":true,"probes":{},"max-attempts":4,"parallel-tries":true,"retry-after":true,
                 "dial-timeout-s":0.2,"idle-close-s":{}}}}}"#,
-            self.round_s, self.idle_close_s
+            self.round_s, self.probes, self.idle_close_s
         );
         format!(
             r#"{{"name":"n0","listen":"{}","operator":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -14,8 +14,8 @@
 
 pub use command::{key_of, next_input, Command, Input, Verb};
 pub use reply::{
-    busy, next_reply, served, turns_away, Body, Malformed, Reply, FAILED, ID_IN_USE, NOT_READY, READY,
-    TOO_SLOW, UNKNOWN_CLASS,
+    busy, next_probed, next_reply, served, turns_away, Body, Malformed, Reply, FAILED, ID_IN_USE, NOT_READY,
+    PROBE, READY, TOO_SLOW, UNKNOWN_CLASS,
 };
 
 /// Longest value of an answer, in bytes.
@@ -84,6 +84,18 @@
         assert_eq!(parsed(odd).forward(wait), odd.replace("read,d=480", "read,d=77").as_bytes());
     }
 
+    #[test]
+    fn a_probe_is_answered_by_one_whole_line() {
+        let probed = |text: &str| next_probed(&mut BytesMut::from(text));
+        assert_eq!(probed("MN\r\n"), Ok(Some(true)));
+        assert_eq!(probed("MN Linflight=7\r\n"), Ok(Some(true)));
+        assert_eq!(probed("SERVER_ERROR not ready\r\n"), Ok(Some(false)));
+        assert_eq!(probed("MN\r"), Ok(None));
+        for text in ["MNO\r\n", "MN\n", "\r\n", "VA 1 Oa\r\n"] {
+            assert_eq!(probed(text), Err(Malformed), "{text:?}");
+        }
+    }
+
     #[test]
     fn keys_map_alike_everywhere() {
         assert_eq!(parsed(GET).key, parsed(SET).key);
--- a/crates/protocol/src/reply.rs
+++ b/crates/protocol/src/reply.rs
@@ -94,6 +94,20 @@
     Ok(Some(Reply::Served { opaque, body, note }))
 }
 
+/// Asks a cache server whether it is ready: a probe, where the settings allow one.
+pub const PROBE: &[u8] = b"mn\r\n";
+
+/// Takes the answer to a probe off `buf`: whether the server is ready; `None` until it is whole.
+pub fn next_probed(buf: &mut BytesMut) -> Result<Option<bool>, Malformed> {
+    let Some(end) = line_length(buf).map_err(|()| Malformed)? else { return Ok(None) };
+    let line = buf.split_to(end + 1);
+    match line[..end].strip_suffix(b"\r").ok_or(Malformed)?.split(|&b| b == b' ').next() {
+        Some(b"MN") => Ok(Some(true)),
+        Some(b"SERVER_ERROR") => Ok(Some(false)),
+        _ => Err(Malformed),
+    }
+}
+
 /// The client's answer out of a cache server's; of one with a long value its line. `None` if that is not an answer to this command: passing it
 /// on would serve one client what was made for another.
 pub fn served(command: &Command, opaque: &[u8], body: &Body) -> Option<Bytes> {
