Bound places and kinds, keep the queue of trials true, end a hedge beside a stream

Faults that they show, each failing before its fix: - Trials: a readmitted server stayed in `ejected` until its turn, and stood there twice if it was taken out again; both entries counted against the share that may be out, so that a dead server could stay in. At fault: readmit, and refresh_members, which looked before servers had gone. Now 131,072 in two generations, the oldest go first; nothing is scanned any more. Below the bound nothing changes. - Streams: a second attempt beside one whose answer the client already read stayed out until its time was up. Now called off as the stream begins, where cancels are allowed.

Ruled out: counts of servers that leave with attempts out and are listed again, fetches whose leader goes, due times of ended requests; each is in the audit.

--- a/crates/decisions/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -61,8 +61,9 @@
 const RETRIAL: Seconds = 1.0;
 /// First wait, about, before a failed call for the list is made again; doubled three times at most.
 const REASK: Seconds = 0.2;
-/// How long a key is taken to be kept where it was last served.
+/// How long a key is taken to be kept where it was last served, and how many such places a node remembers.
 const MEMORY: Seconds = 15.0;
+const MAX_PLACES: usize = 1 << 17;
 /// Reads of keys not known to be kept that a node first has out at once; learnt from then on.
 const FIRST_FETCHES: f64 = 64.0;
 /// The origin is slow when this share of fetches is late; their mean varies too much.
@@ -246,6 +247,33 @@
 /// A key and the server asked for it.
 type Place = (Key, ServerId);
 
+/// When servers last answered keys from cache or fetched them, in two generations: the old one goes at once.
+/// Danger: a client that asks for ever new keys had them all remembered; at the bound the oldest go early.
+#[derive(Default)]
+struct Memory {
+    young: BTreeMap<Place, Seconds>,
+    old: BTreeMap<Place, Seconds>,
+    turned: Seconds,
+}
+
+impl Memory {
+    fn knows(&self, place: &Place, now: Seconds) -> bool {
+        self.young.get(place).or_else(|| self.old.get(place)).is_some_and(|at| now - at < MEMORY)
+    }
+
+    fn learn(&mut self, place: Place, now: Seconds) {
+        if now >= self.turned + MEMORY || self.young.len() >= MAX_PLACES / 2 {
+            (self.old, self.turned) = (std::mem::take(&mut self.young), now);
+        }
+        self.young.insert(place, now);
+    }
+
+    fn forget(&mut self, place: &Place) {
+        self.young.remove(place);
+        self.old.remove(place);
+    }
+}
+
 fn is_origin(settings: &Settings, server: &Server) -> bool {
     matches!(&settings.cache, CacheMode::Aside { origin_kind } if *origin_kind == server.entry.kind)
 }
@@ -291,9 +319,8 @@
     fetching: BTreeMap<Key, (RequestId, Vec<RequestId>)>,
     /// Attempts out that are expected to reach the origin.
     origin_load: u32,
-    /// When servers last answered keys from cache or fetched them (through mode).
-    memory: BTreeMap<Place, Seconds>,
-    next_purge: Seconds,
+    /// Where keys are kept (through mode).
+    memory: Memory,
     next_sweep: Seconds,
     /// Smoothed share of fetches that fail or are late, and how many the origin was seen to bear.
     late: f64,
@@ -390,9 +417,7 @@
         match event {
             Event::Roster(news) => self.on_roster(news),
             Event::Request(new) => self.on_request(new),
-            Event::StreamStarted { request, .. } => {
-                self.requests.entry(request).and_modify(|r| r.streaming = true);
-            }
+            Event::StreamStarted { request, attempt } => self.on_stream(request, attempt),
             Event::Outcome(outcome) => self.on_outcome(outcome),
             Event::Withdrawn(id) => self.on_finished(id),
             Event::Timer(TICK_TOKEN) => self.on_tick(),
@@ -414,10 +439,6 @@
 
     fn on_tick(&mut self) {
         self.out.push(Action::SetTimer { token: TICK_TOKEN, after: TICK });
-        if self.now >= self.next_purge {
-            self.next_purge = self.now + MEMORY;
-            self.memory.retain(|_, at| self.now - *at < MEMORY);
-        }
         if self.now >= self.next_sweep {
             self.next_sweep = self.now + SWEEP;
             if self.settings.limits.probes {
@@ -459,7 +480,6 @@
         let listed = self.servers.values().map(|s| s.entry.weight).fold(0.0, f64::max);
         let scale = if by_weight && listed > 0.0 { listed.log2().floor().exp2() } else { 1.0 };
         let (mut stale, mut fresh) = (BTreeSet::new(), Vec::new());
-        self.ejected.retain(|id| self.servers.get(id).is_some_and(|s| s.out));
         self.servers.retain(|id, s| {
             s.size = if by_weight && s.entry.weight > 0.0 { s.entry.weight / scale } else { 1.0 };
             let gone = s.entry.state == ServerState::Gone;
@@ -475,6 +495,10 @@
             }
             !gone || s.in_flight > 0
         });
+        self.ejected.retain(|id| self.servers.get(id).is_some_and(|s| s.out));
+        // Danger: kinds that left would stay for ever, and a quick one make all that are here look slow.
+        let listed: BTreeSet<&str> = self.servers.values().map(|s| s.entry.kind.as_str()).collect();
+        self.kinds.retain(|kind, _| listed.contains(kind.as_str()));
         if !stale.is_empty() {
             self.ring.retain(|p| !stale.contains(&p.server));
             self.ring.extend(fresh);
@@ -726,7 +750,7 @@
     }
 
     fn knows(&self, place: &Place) -> bool {
-        self.memory.get(place).is_some_and(|at| self.now - at < MEMORY)
+        self.memory.knows(place, self.now)
     }
 
     fn send(&mut self, id: RequestId, server: &ServerId, to_origin: bool) {
@@ -786,16 +810,31 @@
         self.on_finished(id);
     }
 
+    /// The client reads this attempt's answer: what else is out for the request serves nobody.
+    fn on_stream(&mut self, id: RequestId, attempt: AttemptId) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        if !std::mem::replace(&mut r.streaming, true) {
+            self.call_off(id, Some(attempt));
+        }
+    }
+
+    /// Cancels what is out, where that is allowed, but for this one.
+    fn call_off(&mut self, id: RequestId, but: Option<AttemptId>) {
+        let Some(r) = self.requests.get(&id).filter(|_| self.settings.limits.cancel) else { return };
+        let attempts = (0..).map(AttemptId).zip(&r.attempts);
+        let out = attempts.filter(|(n, a)| a.status.is_none() && Some(*n) != but);
+        self.out.extend(out.map(|(attempt, _)| Action::Cancel { request: id, attempt }));
+    }
+
     /// The request has its final answer or nobody waits: call off what is out, forget it when all is in.
     fn on_finished(&mut self, id: RequestId) {
-        let cancel = self.settings.limits.cancel;
         let Some(r) = self.requests.get_mut(&id) else { return };
         self.due.remove(&(r.give_up.to_bits(), Due::GiveUp, id));
         self.due.remove(&(r.late.to_bits(), Due::Late, id));
-        if !std::mem::replace(&mut r.ended, true) && cancel && !r.streaming {
-            let out = (0..).zip(&r.attempts).filter(|(_, a)| a.status.is_none());
-            self.out.extend(out.map(|(n, _)| Action::Cancel { request: id, attempt: AttemptId(n) }));
+        if !std::mem::replace(&mut r.ended, true) && !r.streaming {
+            self.call_off(id, None);
         }
+        let Some(r) = self.requests.get(&id) else { return };
         if r.attempts_out() == 0 {
             self.requests.remove(&id);
         }
@@ -950,9 +989,9 @@
         }
         // A write voids what is kept, and a read that ends in an error was no hit.
         if status == Status::Error || (status == Status::Success && write) {
-            self.memory.remove(place);
+            self.memory.forget(place);
         } else if status == Status::Success && through {
-            self.memory.insert(place.clone(), now);
+            self.memory.learn(place.clone(), now);
         }
     }
 
@@ -974,6 +1013,7 @@
         let Some(s) = self.servers.get_mut(id).filter(|s| s.out) else { return };
         (s.out, s.strikes) = (false, 0.0);
         s.entry.started = Some(self.now);
+        self.ejected.retain(|ejected| ejected != id);
         self.out.push(Action::Log(format!("{} readmitted", id.0)));
         self.refresh_shares();
     }
@@ -1028,3 +1068,6 @@
         self.dispatch(usize::MAX);
     }
 }
+
+#[cfg(test)]
+mod bounds;
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -86,6 +86,10 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+// The tests of the crate's inside share helpers with those of its outside.
+#[cfg(test)]
+extern crate self as hallpin_decisions;
+
 mod balance;
 mod interface;
 mod settings;
--- a/crates/decisions/tests/rules.rs
+++ b/crates/decisions/tests/rules.rs
@@ -783,3 +783,17 @@
         }
     }
 }
+
+/// A hedge beside the attempt that the client reads serves nobody: it is called off as the answer begins, not held in
+/// flight until its time is up.
+#[test]
+fn a_stream_that_begins_ends_what_is_out_beside_it() {
+    let mut node = Node::with(settings(), 1, fleet(8));
+    node.request(read(1, 1));
+    node.now += 0.51;
+    assert_eq!(sent(&node.event(Event::Timer(TimerToken(1)))).len(), 1, "a hedge");
+    let begins = Event::StreamStarted { request: RequestId(1), attempt: AttemptId(0) };
+    let cancel = Action::Cancel { request: RequestId(1), attempt: AttemptId(1) };
+    assert_eq!(node.event(begins.clone()), [cancel]);
+    assert!(node.event(begins).is_empty(), "once");
+}
