Give a key one home for all zones: homes of their own in each cost twice the misses

Where crossing zones has a price, as here, a node looked for a key's first two places in its own zone, and part of the keys left a crowded one. That made a copy of a key in each zone, and each copy a fetch from the planner of its own; it also put a second rule before the design's, which knows one array for all.

Removed: ZONE_PLACES, ZONE_SPILL, `near`, `spill`, and from the interface the node's zone and the price, which nothing else read. Homes move once, at the upgrade.

--- a/crates/decisions/benches/growth.rs
+++ b/crates/decisions/benches/growth.rs
@@ -17,7 +17,6 @@
     };
     Settings {
         balancers: 5,
-        zone: "a".into(),
         classes: vec![read],
         weights: WeightSource::Nominal,
         guarantees: Guarantees { cold_from: 0.2, ramp: 20.0, ..Guarantees::default() },
@@ -28,7 +27,6 @@
             second_copies: true,
             ..Limits::default()
         },
-        prices: Prices { cross_zone: 0.01 },
         round: 0.005,
         ..Settings::default()
     }
--- a/crates/decisions/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -30,10 +30,6 @@
 const MAX_JUMPS: u64 = 32;
 /// A key is hot that a node sees again within its last k / this requests: so many times a fair share.
 const HOT: f64 = 4.0;
-/// Where crossing zones has a price, the first places of a key that are looked for in the node's own zone.
-const ZONE_PLACES: u64 = 2;
-/// What a crowded answer of the own zone adds to the share of keys at home in all zones; others take a fifth.
-const ZONE_SPILL: f64 = 0.1;
 /// Part of the tightest aim from which an answer from cache is crowded.
 const CROWDED: f64 = 0.5;
 /// Part of the aim for which a request is held when all servers are full; a tenth of it when over its quota.
@@ -162,8 +158,6 @@
     share: f64,
     points: u16,
     active: u16,
-    /// In the node's own zone, where crossing zones has a price.
-    near: bool,
     /// In-flight count above which answers get slow, learnt from their times.
     limit: Limit,
     answered: Seconds,
@@ -303,8 +297,6 @@
     ring: Vec<Point>,
     kinds: BTreeMap<String, Kind>,
     fleet: Fleet,
-    /// Share of the keys that have their homes in all zones though crossing has a price.
-    spill: f64,
     in_flight: u32,
     /// Smoothed share of attempts that ended in an error or without an answer.
     errors: f64,
@@ -359,13 +351,12 @@
     }
 }
 
-/// Sums over the ready servers; `near` ones are in the node's own zone.
+/// Sums over the ready servers.
 #[derive(Default)]
 struct Fleet {
     ready: usize,
     share: f64,
     limit: f64,
-    near: usize,
 }
 
 impl Balancer {
@@ -511,8 +502,6 @@
     /// Brings warm-up, ejection and the sums over the fleet up to date; no request pays for them.
     fn refresh_shares(&mut self) {
         self.fleet = Fleet::default();
-        // In aside mode each further home of a key costs a second attempt, at the origin: zones do not count.
-        let zones_count = self.settings.cache == CacheMode::Through && self.settings.prices.cross_zone > 0.0;
         let learn = self.settings.weights != WeightSource::Nominal;
         let fastest = self.kinds.values().map(Kind::slowness).fold(f64::MAX, f64::min);
         for s in self.servers.values_mut() {
@@ -526,9 +515,7 @@
             let part = warmth * ((speed.max(SLOWEST) * 16.0).round() / 16.0);
             s.share = if in_array { s.size * part } else { 0.0 };
             s.active = if in_array { (f64::from(s.points) * part).ceil() as u16 } else { 0 };
-            s.near = zones_count && s.entry.zone == self.settings.zone;
             if in_array {
-                self.fleet.near += usize::from(s.near);
                 self.fleet.ready += 1;
                 self.fleet.share += s.share;
                 self.fleet.limit += s.limit.value;
@@ -555,13 +542,8 @@
         // While the fleet has room that is no one's loss; at its limits the others' requests go first.
         let gives_way = r.over_quota && f64::from(self.in_flight) > self.fleet.limit;
         let part = 1.0 + OVER * self.hit_time / self.tightest_aim;
-        // Danger: a zone with more traffic than its own servers carry; then part of the keys leave it.
-        let at_home = self.fleet.near > 0 && hash_key(r.key, u64::MAX) as f64 >= self.spill * u64::MAX as f64;
         for place in r.first..r.first + MAX_JUMPS {
-            let local = at_home && place < r.first + ZONE_PLACES;
-            let active = |p: &Point| {
-                self.servers.get(&p.server).is_some_and(|s| p.rank < s.active && (s.near || !local))
-            };
+            let active = |p: &Point| self.servers.get(&p.server).is_some_and(|s| p.rank < s.active);
             let id = owner(&self.ring, r.key, place, active)?;
             let server = &self.servers[id];
             let tried = r.attempts.iter().any(|a| a.server == *id && a.status != Some(Status::Absent));
@@ -926,10 +908,6 @@
         let warm = s.warmth(now, &self.settings.guarantees) >= 1.0;
         let load = f64::from(s.in_flight);
         s.in_flight -= 1;
-        if s.near && !fetched {
-            let crowded = status != Status::Success || time > self.tightest_aim * CROWDED;
-            self.spill = (self.spill + if crowded { ZONE_SPILL } else { -ZONE_SPILL / 5.0 }).clamp(0.0, 1.0);
-        }
         match status {
             Status::Success => {
                 (s.strikes, s.answered) = (0.0, now);
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -166,20 +166,11 @@
     pub connect_timeout: Seconds,
 }
 
-/// What costs points beside late answers; by default nothing.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Prices {
-    /// For each attempt that leaves the node's zone.
-    pub cross_zone: f64,
-}
-
 /// All that a node is told at its start. The default makes no sense yet: it has no classes and no balancers.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     /// Nodes that share the servers, this one included.
     pub balancers: u32,
-    /// The zone of this node.
-    pub zone: String,
     /// Request classes.
     pub classes: Vec<Class>,
     /// Tenants; may be empty.
@@ -194,8 +185,6 @@
     pub guarantees: Guarantees,
     /// What is allowed.
     pub limits: Limits,
-    /// What has a price.
-    pub prices: Prices,
     /// Events are handed over at most this often.
     pub round: Seconds,
 }
@@ -237,10 +226,6 @@
                 return wrong(format!("{what}: a time of 0 or more expected, got {time}"));
             }
         }
-        let price = settings.prices.cross_zone;
-        if !price.is_finite() || price < 0.0 {
-            return wrong(format!("price of crossing zones: 0 or more expected, got {price}"));
-        }
         if !(g.cold_from > 0.0 && g.cold_from <= 1.0) {
             return wrong(format!("cold from: a share above 0 and up to 1 expected, got {}", g.cold_from));
         }
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -20,7 +20,6 @@
 //! };
 //! let settings = Settings {
 //!     balancers: 1,
-//!     zone: "hall".into(),
 //!     classes: vec![read],
 //!     tenants: vec![],
 //!     membership: Membership::Pushed,
@@ -36,7 +35,6 @@
 //!         fall_for: 1.0,
 //!     },
 //!     limits: Limits { cancel: true, max_attempts: 3, second_copies: true, ..Limits::default() },
-//!     prices: Prices::default(),
 //!     round: 0.005,
 //! };
 //! let mut balancer = Balancer::new(settings, 42)?;
--- a/crates/decisions/src/settings.rs
+++ b/crates/decisions/src/settings.rs
@@ -100,7 +100,6 @@
         balancers: need("balancers", opt(top, "balancers", "a whole number", Value::as_u64)?)?
             .try_into()
             .map_err(|_| "setting balancers: too many")?,
-        zone: text(top, "locality")?.unwrap_or("").into(),
         classes,
         tenants,
         membership: match need("membership-mode", text(top, "membership-mode")?)? {
@@ -119,9 +118,6 @@
         },
         guarantees: guarantees(object(top, "guarantees").unwrap_or(&none))?,
         limits: limits(object(top, "limits").unwrap_or(&none))?,
-        prices: Prices {
-            cross_zone: number(object(top, "prices").unwrap_or(&none), "cross-zone")?.unwrap_or(0.0),
-        },
         round: number(top, "round-s")?.unwrap_or(0.0),
     })
 }
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -26,7 +26,6 @@
 pub fn settings() -> Settings {
     Settings {
         balancers: 2,
-        zone: "here".into(),
         classes: vec![
             class("read", Effect::Safe, Group::All),
             class("keyed", Effect::Keyed, Group::Zone),
@@ -53,7 +52,6 @@
             connect_timeout: 0.1,
             ..Limits::default()
         },
-        prices: Prices::default(),
         round: 0.005,
     }
 }
--- a/crates/decisions/tests/rules.rs
+++ b/crates/decisions/tests/rules.rs
@@ -638,30 +638,23 @@
 
 // ---- Failures met in the field ----
 
-#[test]
-fn where_crossing_zones_has_a_price_keys_stay_in_their_own_zone_in_through_mode_only() {
-    let priced = |cache| Settings { prices: Prices { cross_zone: 0.1 }, cache, ..settings() };
-    let away = |cache| {
-        let mut node = Node::with(priced(cache), 1, fleet(12));
-        let odd = |s: &ServerId| (1..=12).step_by(2).any(|n| *s == id(n));
-        (0..60).filter(|&n| odd(&node.home(n, n * 7919))).count()
+/// Danger: homes of their own in each zone are as many copies of a key, and as many fetches from the origin.
+#[test]
+fn a_key_has_one_home_for_the_nodes_of_all_zones() {
+    let told = |zone: &str| {
+        let json = format!(
+            r#"{{"balancers":2,"locality":"{zone}","membership-mode":"pushed","prices":{{"cross-zone":0.1}},
+            "grades":[{{"name":"read","effect":"free","hard-limit-s":2.0}}],"limits":{{"max-attempts":3}},
+            "guarantees":{{"grace-to-answer-s":0.02,"ask-every-s":10,"cold-from":0.3,"ramp-time-s":8,
+                "drain-grace-s":0.5,"fall-multiple":3,"fall-s":1}}}}"#
+        );
+        Settings::from_json(&serde_json::from_str(&json).expect("JSON")).expect("settings")
     };
-    assert_eq!(away(CacheMode::Through), 0);
-    assert!(away(CacheMode::Aside { origin_kind: "origin".into() }) > 15);
-}
-
-#[test]
-fn a_zone_whose_answers_are_crowded_sends_part_of_its_keys_away() {
-    let priced = Settings { prices: Prices { cross_zone: 0.1 }, ..settings() };
-    let mut node = Node::with(priced, 1, fleet(12));
-    for n in 0..20 {
-        node.request(read(n, n * 31));
-        node.now += 0.4;
-        node.serve(n);
-    }
-    let odd = |s: &ServerId| (1..=12).step_by(2).any(|n| *s == id(n));
-    let away = (100..160).filter(|&n| sent(&node.request(read(n, n * 7919))).iter().any(odd)).count();
-    assert!(away > 5, "{away} of 60 leave the zone");
+    let homes = |zone| -> Vec<ServerId> {
+        let mut node = Node::with(told(zone), 1, fleet(12));
+        (0..60).map(|n| node.home(n, n * 7919)).collect()
+    };
+    assert_eq!(homes("here"), homes("there"));
 }
 
 #[test]
