--- a/crates/decisions/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -28,6 +28,9 @@
 const OVER: f64 = 6.0;
 /// Places tried before a request is held.
 const MAX_JUMPS: u64 = 32;
+/// A request this many times as dear as the usual one keeps away from a server that warms up. Danger: such a
+/// server is brought down by work, and one request in a hundred can be a day's worth of the others.
+const HEAVY: f64 = 8.0;
 /// A key is hot that a node sees again within its last k / this requests: so many times a fair share.
 const HOT: f64 = 4.0;
 /// Part of the tightest aim from which an answer from cache is crowded.
@@ -303,6 +306,8 @@
     /// Smoothed time of answers from cache, and as a multiple of the work that requests are said to be.
     hit_time: Seconds,
     work_time: f64,
+    /// Smoothed work that requests are said to be.
+    usual_work: f64,
     requests: BTreeMap<RequestId, Request>,
     /// Keys of the last requests, and how often each stands there.
     recent: VecDeque<Key>,
@@ -357,6 +362,7 @@
     ready: usize,
     share: f64,
     limit: f64,
+    warm: usize,
 }
 
 impl Balancer {
@@ -517,6 +523,7 @@
             s.active = if in_array { (f64::from(s.points) * part).ceil() as u16 } else { 0 };
             if in_array {
                 self.fleet.ready += 1;
+                self.fleet.warm += usize::from(warmth >= 1.0);
                 self.fleet.share += s.share;
                 self.fleet.limit += s.limit.value;
             }
@@ -541,6 +548,7 @@
         // Danger: a node that serves for others that are down or drained sees more than its part of a quota.
         // While the fleet has room that is no one's loss; at its limits the others' requests go first.
         let gives_way = r.over_quota && f64::from(self.in_flight) > self.fleet.limit;
+        let heavy = r.work > HEAVY * self.usual_work && self.fleet.warm > 0;
         let part = 1.0 + OVER * self.hit_time / self.tightest_aim;
         for place in r.first..r.first + MAX_JUMPS {
             let active = |p: &Point| self.servers.get(&p.server).is_some_and(|s| p.rank < s.active);
@@ -549,7 +557,7 @@
             let tried = r.attempts.iter().any(|a| a.server == *id && a.status != Some(Status::Absent));
             // A cold server takes the keys that it owns, not the overflow of others.
             let cold = server.warmth(self.now, &self.settings.guarantees) < 1.0;
-            if tried || (place > 0 && cold) || !self.may_send(r, id, server) {
+            if tried || (cold && (place > 0 || heavy)) || !self.may_send(r, id, server) {
                 continue;
             }
             // Danger: bound by the learnt limit too, all were refused while servers had room to queue.
@@ -607,6 +615,10 @@
             return;
         }
         let key = new.key.unwrap_or(Key(hash_key(Key(new.id.0), 0)));
+        if let Some(work) = new.work.filter(|work| work.is_finite()) {
+            let unknown = self.usual_work == 0.0;
+            self.usual_work += if unknown { 1.0 } else { SMOOTH / 10.0 } * (work - self.usual_work);
+        }
         let unknown = self.settings.classes.len() - 1;
         // Answered a round ahead of the client's deadline, whatever else happens.
         let give_up = self.now + (new.left - 2.0 * self.settings.round).max(0.0);
--- a/crates/decisions/tests/rules.rs
+++ b/crates/decisions/tests/rules.rs
@@ -790,3 +790,29 @@
     assert_eq!(node.event(begins.clone()), [cancel]);
     assert!(node.event(begins).is_empty(), "once");
 }
+
+/// A server that warms up is brought down by work, not by requests: one that is said to be dear goes elsewhere, unless
+/// there is no warm server.
+#[test]
+fn a_dear_request_keeps_away_from_a_server_that_warms_up() {
+    let started = |all: bool| {
+        let cold = move |n| RosterEntry { started: (all || n == 3).then_some(100.0), ..entry(n) };
+        let mut node = Node::with(settings(), 1, (1..=8).map(cold).collect());
+        for n in 0..50 {
+            node.request(NewRequest { work: Some(0.05), ..read(n, n) });
+            if node.sends.contains_key(&RequestId(n)) {
+                node.serve(n);
+            }
+        }
+        node
+    };
+    for (all, work, goes) in [(false, 0.05, true), (false, 0.3, true), (false, 1.0, false), (true, 1.0, true)]
+    {
+        let mut node = started(all);
+        let key = (0..200).find(|key| node.home(1000 + key, *key) == id(3)).expect("a key at home there");
+        node.forget();
+        let to = sent(&node.request(NewRequest { work: Some(work), ..read(5000, key) }));
+        assert_eq!(to == [id(3)], goes, "all cold {all}, work {work}: {to:?}");
+        assert_eq!(to.len(), 1);
+    }
+}
--- a/crates/model/tests/world.rs
+++ b/crates/model/tests/world.rs
@@ -298,3 +298,29 @@
     let verdict = referee.verdict();
     assert!(verdict.is_clean(), "{:?}", verdict.told);
 }
+
+fn mixed(seed: u64) -> Verdict {
+    let day = Scenario::parse(include_str!("../../../scenarios/mixed.toml")).expect("a scenario").draw(seed);
+    let day = day.expect("a day");
+    let mut referee = Referee::new(&day);
+    let sink = |at: Time, event: &Event| hallpin_model::trace::Sink::record(&mut referee, at, event);
+    let _ = World::new(&day, &policy::module, sink).expect("a world").run();
+    referee.verdict()
+}
+
+/// Dear requests meet boxes that come back cold: none of them is brought down.
+#[test]
+fn boxes_that_come_back_cold_amid_dear_requests_stay_up() {
+    for seed in [11, 69, 205] {
+        let verdict = mixed(seed);
+        assert!(verdict.is_clean(), "seed {seed}: {:?}", verdict.told);
+    }
+}
+
+/// Not mended: a box that comes back cold and slow bears a seventh of what a cold one does, and no node can know.
+#[test]
+#[should_panic(expected = "was pushed over")]
+fn a_box_that_comes_back_cold_and_slow_stays_up() {
+    let verdict = mixed(115);
+    assert!(verdict.is_clean(), "{:?}", verdict.told);
+}
