--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -95,7 +95,7 @@
     #[default]
     /// Changes arrive by themselves.
     Pushed,
-    /// Only after [`Action::Subscribe`] or [`Action::FetchRoster`].
+    /// Only after [`Action::Subscribe`].
     OnRequest,
 }
 
@@ -445,8 +445,6 @@
     Tell(Vec<u8>),
     /// Subscribe to changes of the list.
     Subscribe,
-    /// Ask for the whole list once.
-    FetchRoster,
     /// A line for the operators.
     Log(String),
 }
--- a/crates/decisions/tests/rules.rs
+++ b/crates/decisions/tests/rules.rs
@@ -311,7 +311,7 @@
 }
 
 fn asks(actions: &[Action]) -> usize {
-    actions.iter().filter(|a| matches!(a, Action::Subscribe | Action::FetchRoster)).count()
+    actions.iter().filter(|a| matches!(a, Action::Subscribe)).count()
 }
 
 #[test]
--- a/crates/model/src/world/attempts.rs
+++ b/crates/model/src/world/attempts.rs
@@ -58,8 +58,7 @@
             Action::Probe(server) if self.day.limits.probes => self.probe(node, &server),
             Action::Tell(bytes) if self.day.limits.peers => self.broadcast(node, bytes),
             // Lists are pushed here, and the log is the operators'.
-            Action::Probe(_) | Action::Tell(_) | Action::Subscribe | Action::FetchRoster | Action::Log(_) => {
-            }
+            Action::Probe(_) | Action::Tell(_) | Action::Subscribe | Action::Log(_) => {}
         }
     }
 
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -1,6 +1,7 @@
 //! The list of cache servers: read once, then watched on a kept connection.
 
 use std::cell::RefCell;
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -16,7 +17,7 @@
 use tracing::{info, warn};
 
 use crate::clock::Clock;
-use crate::message::{Call, Message};
+use crate::message::Message;
 use crate::roster::Roster;
 
 /// Longest list that is read.
@@ -81,11 +82,8 @@
     }
 
     /// Follows the list for ever. Whatever discovery does, the list held meanwhile stands.
-    pub async fn run(mut self, mut calls: Receiver<Call>) {
-        let mut first = match self.membership {
-            Membership::Pushed => Some(Call::Watch),
-            Membership::OnRequest => None,
-        };
+    pub async fn run(mut self, mut calls: Receiver<()>) {
+        let mut at_once = self.membership == Membership::Pushed;
         loop {
             let address = *self.address.borrow_and_update();
             let mut moved = self.address.clone();
@@ -94,28 +92,24 @@
                 // The old watch is dropped whatever it waits for, and the whole list read at the new address.
                 Ok(()) = moved.changed() => {
                     info!(from = %address, "moved");
-                    first = Some(Call::Watch);
+                    at_once = true;
                 }
-                () = self.keep_following(address, first, &mut calls) => return,
+                () = self.keep_following(address, at_once, &mut calls) => return,
             }
         }
     }
 
     /// Follows the list at one address, until nobody asks any more.
-    async fn keep_following(&self, address: SocketAddr, mut first: Option<Call>, calls: &mut Receiver<Call>) {
+    async fn keep_following(&self, address: SocketAddr, mut at_once: bool, calls: &mut Receiver<()>) {
         let asked = self.membership == Membership::OnRequest;
         let manner = self.manner();
         let mut backoff = manner.backoff;
         loop {
-            let call = match first {
-                Some(call) => call,
-                None => match calls.recv().await {
-                    Some(call) => call,
-                    None => return,
-                },
-            };
-            first = first.filter(|_| !asked);
-            let Err(failure) = self.follow(address, call).await else { continue };
+            if !at_once && calls.recv().await.is_none() {
+                return;
+            }
+            at_once &= !asked;
+            let Err(failure) = self.follow(address).await;
             let failure = failure.to_string();
             if *self.trouble.borrow() == failure {
                 backoff = (backoff * 2).min(manner.max_backoff);
@@ -131,7 +125,8 @@
         }
     }
 
-    async fn follow(&self, address: SocketAddr, call: Call) -> Result<(), Failure> {
+    /// Follows the list on one connection until that fails.
+    async fn follow(&self, address: SocketAddr) -> Result<Infallible, Failure> {
         let stream = timeout(DIAL, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
         let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
@@ -140,9 +135,6 @@
         let _guard = AbortOnDrop(connection.abort_handle());
         let Manner { wait, patience, .. } = *self.manner();
         let mut revision = self.call(&mut sender, "/discovery/hosts", patience, true).await?;
-        if call == Call::Fetch {
-            return Ok(());
-        }
         loop {
             let asked = Instant::now();
             let path = format!("/discovery/hosts?index={revision}&wait={}", wait.as_millis());
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -21,7 +21,7 @@
 use crate::figures::{End, Figures, Members, Ticket};
 use crate::lifecycle::Lifecycle;
 use crate::log::Throttle;
-use crate::message::{Call, Message};
+use crate::message::Message;
 use crate::roster::Roster;
 use crate::upstream::{Ended, Served, Upstream};
 
@@ -77,7 +77,7 @@
     overdue: Throttle,
     said: Throttle,
     messages: UnboundedSender<Message>,
-    calls: Sender<Call>,
+    calls: Sender<()>,
     lifecycle: Rc<Lifecycle>,
     figures: Rc<Figures>,
 }
@@ -87,7 +87,7 @@
     pub clock: Clock,
     pub upstream: Rc<Upstream>,
     pub messages: UnboundedSender<Message>,
-    pub calls: Sender<Call>,
+    pub calls: Sender<()>,
     /// Told once a server is known.
     pub lifecycle: Rc<Lifecycle>,
     pub figures: Rc<Figures>,
@@ -301,8 +301,8 @@
             Action::SetTimer { token, after } => {
                 self.timers.push(Reverse((self.now + duration(after), Timer::Balancer(token.0))));
             }
-            Action::Subscribe => self.call(Call::Watch),
-            Action::FetchRoster => self.call(Call::Fetch),
+            // A full queue means that a call is on its way.
+            Action::Subscribe => drop(self.calls.try_send(())),
             Action::Log(text) => {
                 if let Some(suppressed) = self.said.pass(self.now) {
                     info!(target: "hallpin_node::balancer", suppressed, "{text}");
@@ -314,11 +314,6 @@
         }
     }
 
-    /// A full queue means that a call is on its way.
-    fn call(&self, call: Call) {
-        let _ = self.calls.try_send(call);
-    }
-
     /// The balancer has one out at a time: it waits longer between two than one lasts.
     fn probe(&self, server: ServerId) {
         let (upstream, messages) = (self.upstream.clone(), self.messages.clone());
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -35,10 +35,3 @@
     /// An operator asks what the list holds.
     Members(oneshot::Sender<Members>),
 }
-
-/// What the balancer asks of discovery where lists are not pushed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Call {
-    Watch,
-    Fetch,
-}
--- a/crates/simwire/src/wire.rs
+++ b/crates/simwire/src/wire.rs
@@ -233,7 +233,6 @@
             writeln!(out, "write_peer {node} -1 {digits}")
         }
         Action::Subscribe => writeln!(out, "keep_informed {node} 1"),
-        Action::FetchRoster => writeln!(out, "reload {node}"),
         Action::Log(text) => writeln!(out, "journal_line {node} {text}"),
     };
 }
