--- a/crates/fleet/tests/histories.rs
+++ b/crates/fleet/tests/histories.rs
@@ -51,6 +51,21 @@
 nodes = 1
 "#;
 
+/// More requests than the boxes can do, of which one after the other drains.
+const CROWD: &str = r#"version = 1
+length = "6s"
+[nodes]
+count = 2
+[clients]
+rate = 900.0
+abandons = 0.05
+[[incidents]]
+kind = "drain"
+at = "1s"
+lasts = "4s"
+boxes = 2
+"#;
+
 /// What the module's day of this seed leaves behind, line by line.
 fn history(scenario: &str, seed: u64) -> Vec<String> {
     let scenario = Scenario::parse(scenario).expect("a scenario");
@@ -71,12 +86,14 @@
 
 #[test]
 fn drawn_days_of_the_module_keep_every_rule() {
-    for seed in 1..=16 {
-        let lines = history(TROUBLE, seed);
-        let verdict = judged(&lines).unwrap_or_else(|error| panic!("seed {seed}, line {error}"));
-        assert!(verdict.is_clean(), "seed {seed}: {:?}", verdict.told);
-        assert!(verdict.whole.requests > 1000 && verdict.attempts > 1000, "seed {seed}");
-        assert!(lines.iter().any(|line| line.contains("\"abandoned\"")), "seed {seed}: clients leave");
+    for (name, scenario, seeds) in [("trouble", TROUBLE, 1..=16), ("crowd", CROWD, 1..=4)] {
+        for seed in seeds {
+            let lines = history(scenario, seed);
+            let verdict = judged(&lines).unwrap_or_else(|error| panic!("{name}, seed {seed}, line {error}"));
+            assert!(verdict.is_clean(), "{name}, seed {seed}: {:?}", verdict.told);
+            assert!(verdict.whole.requests > 1000 && verdict.attempts > 1000, "{name}, seed {seed}");
+            assert!(lines.iter().any(|line| line.contains("\"abandoned\"")), "{name}, seed {seed}");
+        }
     }
 }
 
