Play traces with a head at a target again: hallpin load reads past the first line

Ruled out: the writer, whose form is as documented. At fault: load.rs, `recorded`, which knew of no head. Now a head is skipped where there is one; traces made before play as before.

--- a/crates/hallpin/src/load.rs
+++ b/crates/hallpin/src/load.rs
@@ -14,6 +14,7 @@
 use hallpin_lab::load::stand_in::{Manner, StandIn};
 use hallpin_lab::load::{self, LoadSpec, Progress};
 use hallpin_model::day::KeysSpec;
+use hallpin_model::history::Header;
 use serde::Deserialize;
 
 use crate::failure::{self, Failure};
@@ -218,7 +219,9 @@
 fn recorded(path: &Path) -> Result<Vec<Recorded>, Failure> {
     let text = std::fs::read_to_string(path).map_err(|error| Failure::File(path.into(), error))?;
     let mut all = Vec::new();
-    for (number, line) in text.lines().enumerate() {
+    // Traces that were made before histories have no head.
+    let head = text.lines().next().is_some_and(|first| serde_json::from_str::<Header>(first).is_ok());
+    for (number, line) in text.lines().enumerate().skip(usize::from(head)) {
         let traced = serde_json::from_str(line).map_err(|error| {
             Failure::Usage(format!("{}:{}:{}: {error}", path.display(), number + 1, error.column()))
         })?;
