Let others run while a test waits for two servers

Need: the test of requests cut short looked at two channels in turn without a pause, on a core that the node may need. Change: it yields between two looks. Result: the test passes as before.

--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -1045,6 +1045,7 @@
             }
         }
         assert!(start.elapsed() < LONG, "the request reaches a server");
+        std::thread::yield_now();
     }
     if stage == Stage::Jumped {
         // The two are told of side by side: the busy one has had its turn once the other holds the request.
