--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -532,6 +532,27 @@
         assert!(inbox.try_recv().is_err());
     }
 
+    /// Timers of ended requests stay until they ring: two a request at most, and none later than the longest deadline,
+    /// whatever the client says. Nothing else of the requests stays.
+    #[tokio::test]
+    async fn ended_requests_leave_two_timers_each_that_ring_by_the_longest_deadline() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (mut driver, _inbox, _) = driver(&settings(), listener.local_addr().unwrap());
+        let before = driver.timers.len();
+        for n in 1..=100 {
+            drop(request(&mut driver, RequestId(n)));
+            driver.carry_out(Action::Fail(RequestId(n)));
+            driver.drain();
+        }
+        assert!(driver.requests.is_empty() && driver.open.is_empty() && driver.events.is_empty());
+        // Beside them the balancer's own.
+        let of_requests = |t: &&Reverse<(Instant, Timer)>| !matches!(t.0 .1, Timer::Balancer(_));
+        assert!(driver.timers.iter().filter(of_requests).count() <= 200);
+        assert!(driver.timers.len() - before <= 210, "{} timers", driver.timers.len());
+        let last = Instant::now() + driver.longest;
+        assert!(driver.timers.iter().all(|Reverse((at, _))| *at <= last));
+    }
+
     /// The final answer ends attempts that still wait for a connection, where cancels are not allowed too.
     #[tokio::test]
     async fn nothing_is_sent_behind_the_final_answer() {
