--- a/crates/decisions/src/balance/bounds.rs
+++ b/crates/decisions/src/balance/bounds.rs
@@ -256,6 +256,23 @@
     audit(&node);
 }
 
+/// Not mended: a read that waits for another's fetch goes its own way, or ends, once that fetch is late.
+#[test]
+#[should_panic(expected = "waits as long as a silent server does")]
+fn a_read_behind_a_fetch_that_is_late_goes_its_own_way() {
+    let mut limits = settings().limits;
+    limits.second_copies = false;
+    let mut node = common::Node::with(Settings { limits, ..settings() }, 1, fleet(8));
+    node.request(read(1, 7));
+    node.request(read(2, 7));
+    assert_eq!((out(&node, 1).len(), out(&node, 2).len()), (1, 0));
+    node.now += 0.8;
+    node.event(Event::Timer(DUE_TOKEN));
+    node.pass(TICK);
+    let waits = node.balancer.0.requests.contains_key(&RequestId(2)) && out(&node, 2).is_empty();
+    assert!(!waits, "it waits as long as a silent server does");
+}
+
 // ---- Over weeks ----
 
 #[test]
