Trust a server that warms up with no more than what its answers show

At fault is `refresh_shares`, which went by age alone.

Change: while a server warms up, the time of its answers from cache against what was expected is smoothed (also of those that are cancelled or time out, where that is longer), and its share is its warmth or the inverse of that, whichever is less. Warm servers, and those as quick as their age says, are as before.

--- a/crates/decisions/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -72,6 +72,8 @@
 const FETCH_CUT: f64 = 0.5;
 /// Weight of a new observation in smoothed figures.
 const SMOOTH: f64 = 0.1;
+/// The same for a server that warms up: a thin node meets it a few times in all, and is to learn from those.
+const SLOW_SMOOTH: f64 = 0.2;
 /// Least share of its points that a server of a slow kind keeps.
 const SLOWEST: f64 = 0.125;
 /// Answers that the usual time counts for in the time of a kind, and the most that are remembered.
@@ -164,6 +166,8 @@
     /// In-flight count above which answers get slow, learnt from their times.
     limit: Limit,
     answered: Seconds,
+    /// Smoothed time of its answers against what was expected, since it last started cold.
+    slowness: f64,
     /// Signs of failure since the last answer; a lost hedged race counts half.
     strikes: f64,
     /// Ejected, until a trial succeeds.
@@ -528,7 +532,10 @@
         for s in self.servers.values_mut() {
             let in_array = s.entry.state == ServerState::Ready && !s.out && s.points > 0;
             // Sixteen steps of warm-up: the owners change seldom, each time of few keys.
-            let warmth = (s.warmth(self.now, &self.settings.guarantees) * 16.0).floor().max(1.0) / 16.0;
+            let warmth = s.warmth(self.now, &self.settings.guarantees);
+            // Danger: one that comes back cold and is slow besides was pushed over by what its age allows.
+            let shown = if warmth < 1.0 { warmth.min(1.0 / s.slowness.max(1.0)) } else { 1.0 };
+            let warmth = (shown * 16.0).floor().max(1.0) / 16.0;
             // Danger: machines of unlike speed where weights do not tell: slow ones drown in a part that fast
             // ones hardly feel. The kind is only a label under which a node sees enough answers.
             let kind = self.kinds.get(&s.entry.kind).filter(|_| learn);
@@ -935,13 +942,22 @@
         let warm = s.warmth(now, &self.settings.guarantees) >= 1.0;
         let load = f64::from(s.in_flight);
         s.in_flight -= 1;
+        let slowness = time / if work > 0.0 { work * self.work_time } else { self.hit_time };
+        let shows = match status {
+            Status::Success => !fetched,
+            // It would have taken longer still.
+            Status::TimedOut | Status::Cancelled => known && slowness > s.slowness,
+            _ => false,
+        };
+        if shows && !warm {
+            s.slowness += SLOW_SMOOTH * (slowness - s.slowness);
+        }
         match status {
             Status::Success => {
                 (s.strikes, s.answered) = (0.0, now);
                 if !fetched {
                     if warm {
-                        let expected = if work > 0.0 { work * self.work_time } else { self.hit_time };
-                        self.kinds.entry(s.entry.kind.clone()).or_default().learn(time / expected);
+                        self.kinds.entry(s.entry.kind.clone()).or_default().learn(slowness);
                     }
                     if work > 0.0 {
                         self.work_time += SMOOTH * (time / work - self.work_time);
@@ -1016,7 +1032,7 @@
     /// Back in the array, as if just started: what was out may have restarted and be cold.
     fn readmit(&mut self, id: &ServerId) {
         let Some(s) = self.servers.get_mut(id).filter(|s| s.out) else { return };
-        (s.out, s.strikes) = (false, 0.0);
+        (s.out, s.strikes, s.slowness) = (false, 0.0, 1.0);
         s.entry.started = Some(self.now);
         self.ejected.retain(|ejected| ejected != id);
         self.out.push(Action::Log(format!("{} readmitted", id.0)));
@@ -1064,7 +1080,7 @@
             // New, back after it was gone, or just started: what was held against the old process is void.
             let started = entry.started.is_some_and(|at| s.entry.started.is_none_or(|old| at > old));
             if started || s.limit.value == 0.0 || s.entry.state == ServerState::Gone {
-                (s.out, s.strikes, s.limit) = (false, 0.0, limit);
+                (s.out, s.strikes, s.slowness, s.limit) = (false, 0.0, 1.0, limit);
                 s.entry.started = entry.started;
             }
             s.entry = RosterEntry { started: s.entry.started, ..entry };
