Refuse lists whose revision fell or that name too many servers, and keep the last one

A revision below the one held, and a list that would name more than 16,384 servers (10,000 is the largest fleet measured), are errors like any other there: one log line, the list held stands, the whole list is asked for anew.

Measured: the two tests play such a discovery on loopback; without the checks they get [2, 1] for [2] and a list of 16,385.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -1,12 +1,13 @@
 //! The list of cache servers: read once, then watched on a kept connection.
 
 use std::cell::RefCell;
+use std::collections::HashSet;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
-use hallpin_decisions::Membership;
+use hallpin_decisions::{Membership, ServerId, ServerState};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -22,6 +23,9 @@
 
 /// Longest list that is read.
 const MAX_BODY: usize = 4 << 20;
+/// Most servers that are held: over the largest fleet that was measured (10,000), and far under what memory bears. A
+/// discovery that names new ones for ever, and none gone, is refused from here on.
+const MAX_SERVERS: usize = 1 << 14;
 /// Connecting to discovery ends after this.
 const DIAL: Duration = Duration::from_secs(1);
 /// How calls are made: how long one waits for news, how much later its answer may come, and the first and
@@ -60,6 +64,8 @@
     news: UnboundedSender<Message>,
     /// What calls fail with now; empty while they succeed. Said once, not with each call.
     trouble: RefCell<String>,
+    /// The servers that the list handed on names.
+    listed: RefCell<HashSet<ServerId>>,
 }
 
 type Failure = Box<dyn std::error::Error + Send + Sync>;
@@ -71,7 +77,14 @@
         clock: Clock,
         news: UnboundedSender<Message>,
     ) -> Self {
-        Discovery { address, membership, clock, news, trouble: RefCell::default() }
+        Discovery {
+            address,
+            membership,
+            clock,
+            news,
+            trouble: RefCell::default(),
+            listed: RefCell::default(),
+        }
     }
 
     fn manner(&self) -> &'static Manner {
@@ -134,28 +147,24 @@
         let connection = tokio::task::spawn_local(connection);
         let _guard = AbortOnDrop(connection.abort_handle());
         let Manner { wait, patience, .. } = *self.manner();
-        let mut revision = self.call(&mut sender, "/discovery/hosts", patience, true).await?;
+        let mut revision = self.call(&mut sender, "/discovery/hosts", patience, None).await?;
         loop {
             let asked = Instant::now();
             let path = format!("/discovery/hosts?index={revision}&wait={}", wait.as_millis());
-            let now_at = self.call(&mut sender, &path, wait + patience, false).await?;
-            // Discovery has begun anew: what it says next would not follow from the list held.
-            if now_at < revision {
-                return Err("the list's revision fell".into());
-            }
-            revision = now_at;
+            revision = self.call(&mut sender, &path, wait + patience, Some(revision)).await?;
             // A peer that answers at once whether it has news or not must not be asked without pause.
             sleep(PACE.saturating_sub(asked.elapsed())).await;
         }
     }
 
-    /// One call; hands on what it brought and returns the list's revision.
+    /// One call, for the whole list or for what came after a revision; hands on what it brought and returns the list's
+    /// revision. Of an answer that is no good nothing is handed on.
     async fn call(
         &self,
         sender: &mut SendRequest<Empty<Bytes>>,
         path: &str,
         patience: Duration,
-        whole: bool,
+        after: Option<u64>,
     ) -> Result<u64, Failure> {
         let request = hyper::Request::get(path)
             .header(hyper::header::HOST, self.address.borrow().to_string())
@@ -172,9 +181,14 @@
             return Err(format!("status {}", status.as_u16()).into());
         }
         let roster = Roster::from_json(&body, &self.clock).map_err(|e| format!("unreadable list: {e}"))?;
-        if whole && !roster.complete {
+        if after.is_none() && !roster.complete {
             return Err("part of a list in place of the whole".into());
         }
+        // Discovery has begun anew: what it says does not follow from the list held.
+        if after.is_some_and(|after| roster.revision < after) {
+            return Err("the list's revision fell".into());
+        }
+        self.count(&roster)?;
         if !self.trouble.borrow_mut().split_off(0).is_empty() {
             info!("answers again");
         }
@@ -186,6 +200,37 @@
     }
 }
 
+impl Discovery {
+    /// Counts the servers that the list will name, unless they are too many.
+    fn count(&self, roster: &Roster) -> Result<(), Failure> {
+        let mut listed = self.listed.borrow_mut();
+        let ids = || roster.members.iter().map(|m| &m.entry);
+        let gone = |state| state == ServerState::Gone;
+        let named = ids().filter(|e| !gone(e.state)).map(|e| &e.server);
+        let now = if roster.complete {
+            named.collect::<HashSet<_>>().len()
+        } else {
+            let left = ids().filter(|e| gone(e.state) && listed.contains(&e.server)).count();
+            let new = named.filter(|id| !listed.contains(*id)).collect::<HashSet<_>>().len();
+            listed.len() + new - left.min(listed.len())
+        };
+        if now > MAX_SERVERS {
+            return Err(format!("the list names {now} servers, at most {MAX_SERVERS} are held").into());
+        }
+        if roster.complete {
+            listed.clear();
+        }
+        for entry in ids() {
+            if gone(entry.state) {
+                listed.remove(&entry.server);
+            } else {
+                listed.insert(entry.server.clone());
+            }
+        }
+        Ok(())
+    }
+}
+
 struct AbortOnDrop(tokio::task::AbortHandle);
 
 impl Drop for AbortOnDrop {
@@ -193,3 +238,76 @@
         self.0.abort();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+    use tokio::sync::mpsc::unbounded_channel;
+
+    use super::*;
+
+    fn member(id: usize, phase: &str) -> String {
+        format!(r#"{{"id":"s-{id}","host_port":"127.0.0.1:1","phase":"{phase}"}}"#)
+    }
+
+    fn list(revision: u64, complete: bool, members: &[String]) -> String {
+        format!(r#"{{"revision":{revision},"complete":{complete},"members":[{}]}}"#, members.join(","))
+    }
+
+    /// Answers one connection's calls in turn, then closes it.
+    async fn serve(listener: TcpListener, answers: Vec<String>) {
+        let (mut stream, _) = listener.accept().await.expect("a call");
+        for body in answers {
+            let mut read = Vec::new();
+            while !read.ends_with(b"\r\n\r\n") {
+                read.push(stream.read_u8().await.expect("a call"));
+            }
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+            stream.write_all(&[head.as_bytes(), body.as_bytes()].concat()).await.expect("an answer");
+        }
+    }
+
+    /// What a discovery that answers so comes to: why it was left, and the servers of each list handed on.
+    fn followed(answers: Vec<String>) -> (String, Vec<usize>) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let address = listener.local_addr().expect("an address");
+            let (news, mut told) = unbounded_channel();
+            let (_moves, at) = watch::channel(address);
+            let discovery = Discovery::new(at, Membership::Pushed, Clock::start(), news);
+            let (ended, ()) = tokio::join!(discovery.follow(address), serve(listener, answers));
+            let Err(failure) = ended;
+            let mut sizes = Vec::new();
+            while let Ok(Message::Roster(roster)) = told.try_recv() {
+                sizes.push(roster.members.len());
+            }
+            (failure.to_string(), sizes)
+        })
+    }
+
+    #[test]
+    fn of_changes_whose_revision_fell_nothing_is_handed_on() {
+        let first = list(5, true, &[member(1, "ready"), member(2, "ready")]);
+        for complete in [false, true] {
+            let fell = list(4, complete, &[member(1, "gone")]);
+            let (why, told) = followed(vec![first.clone(), fell]);
+            assert_eq!((&why[..], told), ("the list's revision fell", vec![2]));
+        }
+    }
+
+    #[test]
+    fn a_list_that_grows_past_its_bound_is_refused_and_the_last_one_stands() {
+        let ready = |ids: std::ops::Range<usize>| ids.map(|n| member(n, "ready")).collect::<Vec<_>>();
+        let full = list(1, true, &ready(0..MAX_SERVERS));
+        let told = format!("the list names {} servers, at most {MAX_SERVERS} are held", MAX_SERVERS + 1);
+        let whole = list(1, true, &ready(0..MAX_SERVERS + 1));
+        assert_eq!(followed(vec![whole]), (told.clone(), vec![]));
+        // One for one is room enough, one more is not; what is named again is no further one.
+        let exchanged =
+            list(2, false, &[member(0, "gone"), member(MAX_SERVERS, "ready"), member(1, "draining")]);
+        let one_more = list(3, false, &[member(0, "ready")]);
+        assert_eq!(followed(vec![full, exchanged, one_more]), (told, vec![MAX_SERVERS, 3]));
+    }
+}
