Move what the load generator's tasks share to a file of its own, which unties a circle

Need: worker started connections and crowd, and both took their types from worker, a circle within the crate, which the project's rules refuse.

--- a/crates/lab/src/load/connection.rs
+++ b/crates/lab/src/load/connection.rs
@@ -13,7 +13,7 @@
 use tokio::time::{sleep, sleep_until, timeout};
 
 use super::ledger::Outcome;
-use super::worker::{Pending, Shared, GRACE};
+use super::shared::{Pending, Shared, GRACE};
 
 /// Time for a connection to come up.
 const CONNECT_WITHIN: Duration = Duration::from_secs(1);
--- a/crates/lab/src/load/crowd.rs
+++ b/crates/lab/src/load/crowd.rs
@@ -12,7 +12,7 @@
 
 use super::connection::text;
 use super::mix::Wanted;
-use super::worker::{Pending, Shared};
+use super::shared::{Pending, Shared};
 
 /// Between two bytes of a slow connection.
 const A_BYTE: Duration = Duration::from_millis(20);
--- a/crates/lab/src/load/mod.rs
+++ b/crates/lab/src/load/mod.rs
@@ -10,6 +10,7 @@
 pub mod mix;
 pub mod report;
 pub mod schedule;
+mod shared;
 pub mod stand_in;
 mod worker;
 
