Give up a long value that a cache server trickles below a least rate

Rest::next waited up to 10 s (STALLED) for each piece of a long value, afresh after every byte, so a box that gave one byte in each 9 s held a connection at the box and the client's for as long as it liked (upstream.rs, Rest::next's timeout_at(asked + STALLED, ..)).

Change: a long value keeps count of how long its box has been waited for and what it gave meanwhile; beyond the first 10 s of waiting it has to come at 16 KiB a second of that time (LEAST_RATE), or it is given up as broken, as a stall was. The time that the client takes between pieces is not counted, so a slow client still slows its box down and is not held against it.

Result: a_trickled_value_is_given_up_and_a_steady_one_is_not, on tokio's paused clock: a byte in each 9 s ends after one byte; 32 KiB a second gives the whole MiB. Without the change the trickle ran to the end of the MiB (the test fails).

--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -28,6 +28,10 @@
 
 /// A cache server that gives nothing of a value that is taken from it for this long will not go on.
 const STALLED: Duration = Duration::from_secs(10);
+/// Least rate of a long value while it is waited for, in bytes a second, beyond the first `STALLED`: a server
+/// that gives a byte just within each `STALLED` would otherwise hold a connection at both ends for ever. At the
+/// longest value (4 MiB) this allows some four minutes of waiting.
+const LEAST_RATE: f64 = 16.0 * 1024.0;
 
 /// The client's answer, as far as it has come.
 #[derive(Debug)]
@@ -125,6 +129,10 @@
     left: usize,
     /// Since when more of it is waited for.
     asked: Option<Instant>,
+    /// How long the server has been waited for in all, and what it gave meanwhile: together they bound a
+    /// trickle. The time that the client takes between pieces is not counted.
+    waited: Duration,
+    given: usize,
     _held: Held,
 }
 
@@ -143,7 +151,7 @@
         left: usize,
     ) -> Self {
         let _held = Held::new(&upstream.budget, READ_CHUNK);
-        Rest { upstream, server, connection, buf, left, asked: None, _held }
+        Rest { upstream, server, connection, buf, left, asked: None, waited: Duration::ZERO, given: 0, _held }
     }
 
     /// The next piece, or `None` once the value is whole. Nothing is lost when the future is dropped.
@@ -160,13 +168,24 @@
             }
             let asked = *self.asked.get_or_insert_with(Instant::now);
             self.buf.reserve(READ_CHUNK);
-            match timeout_at(asked + STALLED, self.connection.stream.read_buf(&mut self.buf)).await {
-                Ok(Ok(read)) if read > 0 => self.asked = None,
+            match timeout_at(asked + self.patience(), self.connection.stream.read_buf(&mut self.buf)).await {
+                Ok(Ok(read)) if read > 0 => {
+                    self.waited += asked.elapsed();
+                    self.given += read;
+                    self.asked = None;
+                }
                 _ => return Err(Broken),
             }
         }
     }
 
+    /// How much longer than now the server may take for its next piece: `STALLED` at most, and no more than
+    /// what keeps the whole wait within `STALLED` and `LEAST_RATE`.
+    fn patience(&self) -> Duration {
+        let earned = STALLED + Duration::from_secs_f64(self.given as f64 / LEAST_RATE);
+        earned.saturating_sub(self.waited).min(STALLED)
+    }
+
     /// The value is whole, and its connection is good for another attempt.
     pub fn finish(self) {
         let Rest { upstream, server, connection, buf, .. } = self;
@@ -551,6 +570,61 @@
         assert!(upstream.endpoints.borrow().is_empty());
     }
 
+    /// A server that answers a long value at `every` a piece of `piece` bytes, on the paused clock: how much of
+    /// the value came, and whether it ended broken.
+    async fn long_value_given(piece: usize, every: Duration) -> (usize, bool) {
+        const LENGTH: usize = 1 << 20;
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let upstream = upstream(LONG, 9);
+        upstream.learn(&roster(&listener, "ready"));
+        let peer = tokio::task::spawn_local(async move {
+            let mut stream = listener.accept().await.unwrap().0;
+            let (mut seen, mut byte) = (Vec::new(), [0]);
+            while !seen.ends_with(b"\n") && matches!(stream.read(&mut byte).await, Ok(1)) {
+                seen.push(byte[0]);
+            }
+            stream.write_all(format!("VA {LENGTH} Oa\r\n").as_bytes()).await.unwrap();
+            let value = vec![b'v'; LENGTH];
+            for chunk in value.chunks(piece) {
+                tokio::time::sleep(every).await;
+                if stream.write_all(chunk).await.is_err() {
+                    return;
+                }
+            }
+            let _ = stream.write_all(b"\r\n").await;
+        });
+        let (server, command, written) = (ServerId("s".into()), command(), Cell::new(false));
+        let ended = upstream.attempt(&server, &command, Instant::now() + LONG, &written).await;
+        let mut rest = ended.answer.and_then(|served| served.rest).expect("a long value");
+        let mut came = 0;
+        let broken = loop {
+            match rest.next().await {
+                Ok(Some(piece)) => came += piece.len(),
+                Ok(None) => break false,
+                Err(Broken) => break true,
+            }
+        };
+        drop(rest);
+        peer.abort();
+        (came, broken)
+    }
+
+    /// Finding 12 of the hardening review: a byte just within each `STALLED` no longer holds the value open for
+    /// ever, while a slow but steady server, above the least rate, gives all of it.
+    #[tokio::test(start_paused = true)]
+    async fn a_trickled_value_is_given_up_and_a_steady_one_is_not() {
+        let local = tokio::task::LocalSet::new();
+        let (trickled, steady) = local
+            .run_until(async {
+                let trickled = long_value_given(1, STALLED - Duration::from_secs(1)).await;
+                let steady = long_value_given(32 * 1024, Duration::from_secs(1)).await;
+                (trickled, steady)
+            })
+            .await;
+        assert_eq!(trickled, (1, true), "a byte in each 9 s: the second would come past the first 10 s");
+        assert_eq!(steady, (1 << 20, false), "a steady server at twice the least rate");
+    }
+
     #[test]
     fn what_this_machine_lacks_is_not_held_against_a_server() {
         assert!(own_limit(&io::Error::from_raw_os_error(24)));
