Test the list's 4 MiB at the bound and name it when a list goes over

The list's 4 MiB (discovery.rs MAX_BODY) had none, and a list over it was logged as 'length limit exceeded', which names no bound.

Change: a_list_over_its_size_is_refused_and_the_last_one_stands plays a list of exactly 4 MiB, then one of a byte more; the error now says 'the list is longer than 4194304 bytes'.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use hallpin_decisions::{Membership, ServerId, ServerState};
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -70,6 +70,14 @@
 
 type Failure = Box<dyn std::error::Error + Send + Sync>;
 
+/// Says which bound a list went over, where the body's reader only says that one was.
+fn too_long(error: Failure) -> Failure {
+    match error.downcast::<LengthLimitError>() {
+        Ok(_) => format!("the list is longer than {MAX_BODY} bytes").into(),
+        Err(error) => error,
+    }
+}
+
 impl Discovery {
     pub fn new(
         address: watch::Receiver<SocketAddr>,
@@ -173,7 +181,8 @@
             sender.ready().await?;
             let response = sender.send_request(request).await?;
             let status = response.status();
-            let body = Limited::new(response.into_body(), MAX_BODY).collect().await?.to_bytes();
+            let body =
+                Limited::new(response.into_body(), MAX_BODY).collect().await.map_err(too_long)?.to_bytes();
             Ok::<_, Failure>((status, body))
         };
         let (status, body) = timeout(patience, answer).await.map_err(|_| "no answer in time")??;
@@ -297,6 +306,19 @@
         }
     }
 
+    /// A list of `MAX_BODY` bytes is read; one byte more, and the last list stands.
+    #[test]
+    fn a_list_over_its_size_is_refused_and_the_last_one_stands() {
+        let padded = |revision, size: usize| {
+            let text = list(revision, true, &[member(1, "ready")]);
+            let spaces = " ".repeat(size - text.len());
+            text.replacen(",\"members\"", &format!("{spaces},\"members\""), 1)
+        };
+        let first = list(1, true, &[member(1, "ready"), member(2, "ready")]);
+        let (why, told) = followed(vec![first, padded(2, MAX_BODY), padded(3, MAX_BODY + 1)]);
+        assert_eq!((why, told), (format!("the list is longer than {MAX_BODY} bytes"), vec![2, 1]));
+    }
+
     #[test]
     fn a_list_that_grows_past_its_bound_is_refused_and_the_last_one_stands() {
         let ready = |ids: std::ops::Range<usize>| ids.map(|n| member(n, "ready")).collect::<Vec<_>>();
