--- a/crates/model/src/trace.rs
+++ b/crates/model/src/trace.rs
@@ -47,6 +47,23 @@
     Void,
 }
 
+impl From<hallpin_decisions::Status> for Ended {
+    /// How a node's outcome of an attempt reads in a trace.
+    fn from(status: hallpin_decisions::Status) -> Self {
+        use hallpin_decisions::Status;
+        match status {
+            Status::Success => Ended::Success,
+            Status::Overloaded => Ended::Overloaded,
+            Status::TimedOut => Ended::TimedOut,
+            Status::Unreachable => Ended::Unreachable,
+            Status::Broken => Ended::Broken,
+            Status::Cancelled => Ended::Cancelled,
+            Status::Void | Status::Absent => Ended::Void,
+            Status::Error | Status::Unknown => Ended::Error,
+        }
+    }
+}
+
 impl Ended {
     /// False where it proves that the attempt never ran.
     pub fn may_have_run(self) -> bool {
--- a/crates/model/src/world/attempts.rs
+++ b/crates/model/src/world/attempts.rs
@@ -190,7 +190,7 @@
     ) {
         let finished = self.hosts[node].tries.get(&id).is_none_or(|live| live.answered);
         let elapsed = self.now.since(since).as_secs();
-        self.record(Event::Ended { id, attempt, how: ended(status) });
+        self.record(Event::Ended { id, attempt, how: status.into() });
         let outcome =
             Outcome { request: RequestId(id), attempt: AttemptId(attempt), status, elapsed, finished, note };
         self.hosts[node].events.push_back(decisions::Event::Outcome(outcome));
