Test the referee's bound on keys with nothing out

Change: a unit test in the referee plays 30,000 keys in turn, a millisecond apart, each sent and ended, and keeps the most that the referee remembers at any time.

--- a/crates/model/src/referee.rs
+++ b/crates/model/src/referee.rs
@@ -890,3 +890,32 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::scenario::Scenario;
+
+    /// The bound of the review's table: what is remembered of keys with nothing out stays within
+    /// `MOST_IDLE_KEYS` while keys go idle one after another, each for longer than the longest aim.
+    #[test]
+    fn keys_with_nothing_out_are_remembered_within_their_bound() {
+        let day = Scenario::default().draw(1).expect("the defaults make a day");
+        let mut referee = Referee::new(&day);
+        referee.record(Time::ZERO, &Event::Told { node: 0, of: 0, phase: Phase::Ready, started: None });
+        let (mut most, keys) = (0, 3 * MOST_IDLE_KEYS as u64);
+        for n in 0..keys {
+            let at = Time(1_000 * n);
+            let until = Time(at.0 + 1_000_000);
+            referee.record(
+                at,
+                &Event::Asked { ask: n, class: 0, tenant: None, key: n as KeyId, work: 50_000.0 },
+            );
+            referee.record(at, &Event::Taken { id: n, ask: n, node: 0, until });
+            referee.record(at, &Event::Sent { id: n, attempt: 0, node: 0, to: 0, crosses: false });
+            referee.record(at, &Event::Ended { id: n, attempt: 0, how: Ended::Success });
+            most = most.max(referee.out.len());
+        }
+        assert!(most <= MOST_IDLE_KEYS, "{most} keys remembered of {keys}");
+    }
+}
