Test the 10 s after which a client that takes nothing is closed

Change: a test on tokio's paused clock answers a read with 64 MiB, which fills the kernel's buffers, and lets the client take nothing for 9 s, then for 11 s, before it reads all it can.

Result: after 9 s the whole answer comes, after 11 s the connection was closed short of it.

--- a/crates/node/src/frontend.rs
+++ b/crates/node/src/frontend.rs
@@ -618,6 +618,47 @@
         LocalSet::new().run_until(run).await;
     }
 
+    /// What a client is given of an answer of `length` bytes that it takes nothing of for `waits`, and then all it
+    /// can; on the paused clock, so the kernel's buffers fill and the wait is the node's alone.
+    async fn taken_after(waits: Duration, length: usize) -> usize {
+        let second = Duration::from_secs(1);
+        let bounds = Bounds { dial: second, idle: second, grace: second };
+        let budget = Budget::new(&Limits::default());
+        let (messages, mut inbox) = unbounded_channel();
+        let upstream = Rc::new(Upstream::new(bounds, budget.clone(), Figures::new([])));
+        let frontend = Frontend::new(messages, upstream, Lifecycle::new(), second, budget);
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let client = async {
+            let mut client = TcpStream::connect(address).await.unwrap();
+            client.write_all(b"mg k v Oa Pc=read,d=9000\r\n").await.unwrap();
+            let Some(Message::Request { reply, .. }) = inbox.recv().await else { panic!("a request") };
+            assert!(reply.send(Answer::untaken(Bytes::from(vec![b'v'; length]))).is_ok());
+            sleep(waits).await;
+            let mut taken = Vec::new();
+            let _ = timeout(second * 60, client.read_to_end(&mut taken)).await;
+            taken.len()
+        };
+        let run = async {
+            tokio::select! {
+                () = frontend.accept(&listener) => unreachable!("the frontend accepts for ever"),
+                taken = client => taken,
+            }
+        };
+        LocalSet::new().run_until(run).await
+    }
+
+    /// The bound of the review's table: a client that takes nothing of its answer for `STALLED` is closed, and one
+    /// that comes a second before is given all of it.
+    #[tokio::test(start_paused = true)]
+    async fn a_client_that_takes_nothing_for_the_stall_time_is_closed() {
+        const LENGTH: usize = 64 << 20;
+        let second = Duration::from_secs(1);
+        assert_eq!(taken_after(STALLED - second, LENGTH).await, LENGTH, "within the stall time");
+        let cut = taken_after(STALLED + second, LENGTH).await;
+        assert!(cut < LENGTH, "past the stall time {cut} bytes of {LENGTH} came");
+    }
+
     /// A connection that was long between requests makes room before a half-open one does; a fresh one does not.
     #[tokio::test]
     async fn the_long_idle_make_room_before_the_half_open() {
