Hold commands within the memory budget when one read brings more of them

The frontend checks the budget before a read (serve: room), but take_commands then handed on every command that the read had brought, up to 64 (the pipeline), each counted as its size and 64 KiB for its answer; so one read could put some 4 MiB past the budget of each connection.

Change: take_commands stops while the budget has no room and the connection has a command out; what is left stays in the buffer, and the connection's own answers wake it to take more, as before a read.

--- a/crates/node/src/frontend.rs
+++ b/crates/node/src/frontend.rs
@@ -520,9 +520,11 @@
         }
     }
 
-    /// Hands on the commands that have come whole.
+    /// Hands on the commands that have come whole, while the budget has room; the rest wait in the buffer until an
+    /// answer of this connection's makes room, as those unread wait in the kernel.
     fn take_commands(&mut self) {
-        while !self.lost && self.pending.len() < MAX_PIPELINE {
+        let room = |this: &Self| this.frontend.budget.has_room() || this.pending.is_empty();
+        while !self.lost && self.pending.len() < MAX_PIPELINE && room(self) {
             let Some(input) = protocol::next_input(&mut self.input) else { return };
             // What is left began with the last read.
             self.command_since = (!self.input.is_empty()).then_some(self.read_at);
@@ -659,6 +661,43 @@
         assert!(cut < LENGTH, "past the stall time {cut} bytes of {LENGTH} came");
     }
 
+    /// The bound of the review's table: commands are held within the memory budget, though one read brings
+    /// more; the rest are taken as answers make room.
+    #[tokio::test(start_paused = true)]
+    async fn commands_that_came_in_one_read_are_held_within_the_budget() {
+        let second = Duration::from_secs(1);
+        let bounds = Bounds { dial: second, idle: second, grace: second };
+        // A quarter of a MiB for commands, each counted with room for its answer: four at once.
+        let budget = Budget::new(&Limits { memory_mb: 1, ..Limits::default() });
+        let (messages, mut inbox) = unbounded_channel();
+        let upstream = Rc::new(Upstream::new(bounds, budget.clone(), Figures::new([])));
+        let frontend = Frontend::new(messages, upstream, Lifecycle::new(), second, budget);
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let client = async {
+            let mut client = TcpStream::connect(address).await.unwrap();
+            let commands: String = (0..10).map(|n| format!("mg k{n} v Ok{n} Pc=read,d=9000\r\n")).collect();
+            client.write_all(commands.as_bytes()).await.unwrap();
+            let mut held = Vec::new();
+            while let Ok(Some(Message::Request { reply, .. })) = timeout(second, inbox.recv()).await {
+                held.push(reply);
+            }
+            let first = held.len();
+            assert!(held.remove(0).send(Answer::untaken(protocol::FAILED)).is_ok());
+            let Ok(Some(Message::Request { .. })) = timeout(second, inbox.recv()).await else {
+                panic!("the next command once an answer made room")
+            };
+            first
+        };
+        let run = async {
+            tokio::select! {
+                () = frontend.accept(&listener) => unreachable!("the frontend accepts for ever"),
+                first = client => first,
+            }
+        };
+        assert_eq!(LocalSet::new().run_until(run).await, 4, "commands held of ten");
+    }
+
     /// A connection that was long between requests makes room before a half-open one does; a fresh one does not.
     #[tokio::test]
     async fn the_long_idle_make_room_before_the_half_open() {
