--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -625,6 +625,18 @@
         assert_eq!(steady, (1 << 20, false), "a steady server at twice the least rate");
     }
 
+    /// The bound of the review's table: a probe of a server that takes the connection and says nothing lasts two
+    /// dial times, on the paused clock, and ends as timed out.
+    #[tokio::test(start_paused = true)]
+    async fn a_probe_of_a_silent_server_lasts_two_dial_times() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let upstream = upstream(LONG, 9);
+        upstream.learn(&roster(&listener, "ready"));
+        let (server, start) = (ServerId("s".into()), Instant::now());
+        let (status, _silent) = tokio::join!(upstream.probe(&server), listener.accept());
+        assert_eq!((status, start.elapsed()), (Status::TimedOut, LONG * 2));
+    }
+
     #[test]
     fn what_this_machine_lacks_is_not_held_against_a_server() {
         assert!(own_limit(&io::Error::from_raw_os_error(24)));
