Test both bounds of a closing connection: a second and a mebibyte

Change: a test on tokio's paused clock closes a connection by a command whose value cannot be read past, then sends half a MiB after 0.9 s, 64 MiB after 1.1 s, and 64 MiB at once.

Result: the half MiB is taken whole; past the second less than a MiB goes out before the client can send no more; at once at least a MiB and not all of it.

--- a/crates/node/src/frontend.rs
+++ b/crates/node/src/frontend.rs
@@ -698,6 +698,56 @@
         assert_eq!(LocalSet::new().run_until(run).await, 4, "commands held of ten");
     }
 
+    /// A client whose command closes its connection, and that then sends `more` bytes after `waits`: how much of
+    /// that the node took before the client could send no more, on the paused clock.
+    async fn taken_while_closing(waits: Duration, more: usize) -> usize {
+        let second = Duration::from_secs(1);
+        let bounds = Bounds { dial: second, idle: second, grace: second };
+        let budget = Budget::new(&Limits::default());
+        let upstream = Rc::new(Upstream::new(bounds, budget.clone(), Figures::new([])));
+        let frontend = Frontend::new(unbounded_channel().0, upstream, Lifecycle::new(), second, budget);
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let client = async {
+            let mut client = TcpStream::connect(address).await.unwrap();
+            // Its value is too long to be read past: the connection cannot go on.
+            client.write_all(b"ms k 300000 Oa Pc=open,d=9000\r\n").await.unwrap();
+            let mut answer = Vec::new();
+            client.read_to_end(&mut answer).await.unwrap();
+            assert!(answer.starts_with(b"CLIENT_ERROR "), "{:?}", String::from_utf8_lossy(&answer));
+            sleep(waits).await;
+            let (piece, mut sent) = (vec![b'x'; 64 * 1024], 0);
+            while sent < more && client.write_all(&piece).await.is_ok() {
+                sent += piece.len();
+                tokio::task::yield_now().await;
+            }
+            sent
+        };
+        let run = async {
+            tokio::select! {
+                () = frontend.accept(&listener) => unreachable!("the frontend accepts for ever"),
+                sent = client => sent,
+            }
+        };
+        LocalSet::new().run_until(run).await
+    }
+
+    /// The bounds of the review's table: a connection that closes takes what its client still sends for `LINGER`
+    /// and up to `LINGER_BYTES`, then no more.
+    #[tokio::test(start_paused = true)]
+    async fn a_closing_connection_takes_what_comes_for_a_second_and_a_mebibyte() {
+        const MORE: usize = 64 << 20;
+        let tenth = Duration::from_millis(100);
+        assert_eq!(
+            taken_while_closing(LINGER - tenth, LINGER_BYTES / 2).await,
+            LINGER_BYTES / 2,
+            "within both"
+        );
+        assert!(taken_while_closing(LINGER + tenth, MORE).await < LINGER_BYTES, "past the second");
+        let sent = taken_while_closing(Duration::ZERO, MORE).await;
+        assert!((LINGER_BYTES..MORE).contains(&sent), "{sent} bytes sent within the second");
+    }
+
     /// A connection that was long between requests makes room before a half-open one does; a fresh one does not.
     #[tokio::test]
     async fn the_long_idle_make_room_before_the_half_open() {
