--- a/crates/node/src/frontend.rs
+++ b/crates/node/src/frontend.rs
@@ -588,16 +588,21 @@
     use tokio::sync::mpsc::unbounded_channel;
     use tokio::task::LocalSet;
 
+    /// A frontend within these limits whose requests go to `messages`, with a second for every time it is given.
+    fn frontend(limits: &Limits, messages: UnboundedSender<Message>) -> Rc<Frontend> {
+        let second = Duration::from_secs(1);
+        let bounds = Bounds { dial: second, idle: second, grace: second };
+        let budget = Budget::new(limits);
+        let upstream = Rc::new(Upstream::new(bounds, budget.clone(), Figures::new([])));
+        Frontend::new(messages, upstream, Lifecycle::new(), second, budget)
+    }
+
     /// The descriptors that are not for clients are for cache servers: with all connections at work a newcomer
     /// is closed, and the others are none the worse.
     #[tokio::test]
     async fn with_all_connections_at_work_a_newcomer_is_closed() {
-        let second = Duration::from_secs(1);
-        let bounds = Bounds { dial: second, idle: second, grace: second };
-        let budget = Budget::new(&Limits { sockets: RESERVED + 1, ..Limits::default() });
         let (messages, mut inbox) = unbounded_channel();
-        let upstream = Rc::new(Upstream::new(bounds, budget.clone(), Figures::new([])));
-        let frontend = Frontend::new(messages, upstream, Lifecycle::new(), second, budget);
+        let frontend = frontend(&Limits { sockets: RESERVED + 1, ..Limits::default() }, messages);
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let clients = async {
@@ -623,12 +628,8 @@
     /// What a client is given of an answer of `length` bytes that it takes nothing of for `waits`, and then all it
     /// can; on the paused clock, so the kernel's buffers fill and the wait is the node's alone.
     async fn taken_after(waits: Duration, length: usize) -> usize {
-        let second = Duration::from_secs(1);
-        let bounds = Bounds { dial: second, idle: second, grace: second };
-        let budget = Budget::new(&Limits::default());
         let (messages, mut inbox) = unbounded_channel();
-        let upstream = Rc::new(Upstream::new(bounds, budget.clone(), Figures::new([])));
-        let frontend = Frontend::new(messages, upstream, Lifecycle::new(), second, budget);
+        let frontend = frontend(&Limits::default(), messages);
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let client = async {
@@ -638,7 +639,7 @@
             assert!(reply.send(Answer::untaken(Bytes::from(vec![b'v'; length]))).is_ok());
             sleep(waits).await;
             let mut taken = Vec::new();
-            let _ = timeout(second * 60, client.read_to_end(&mut taken)).await;
+            let _ = timeout(Duration::from_secs(60), client.read_to_end(&mut taken)).await;
             taken.len()
         };
         let run = async {
@@ -666,12 +667,9 @@
     #[tokio::test(start_paused = true)]
     async fn commands_that_came_in_one_read_are_held_within_the_budget() {
         let second = Duration::from_secs(1);
-        let bounds = Bounds { dial: second, idle: second, grace: second };
-        // A quarter of a MiB for commands, each counted with room for its answer: four at once.
-        let budget = Budget::new(&Limits { memory_mb: 1, ..Limits::default() });
         let (messages, mut inbox) = unbounded_channel();
-        let upstream = Rc::new(Upstream::new(bounds, budget.clone(), Figures::new([])));
-        let frontend = Frontend::new(messages, upstream, Lifecycle::new(), second, budget);
+        // A quarter of a MiB for commands, each counted with room for its answer: four at once.
+        let frontend = frontend(&Limits { memory_mb: 1, ..Limits::default() }, messages);
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let client = async {
@@ -701,11 +699,7 @@
     /// A client whose command closes its connection, and that then sends `more` bytes after `waits`: how much of
     /// that the node took before the client could send no more, on the paused clock.
     async fn taken_while_closing(waits: Duration, more: usize) -> usize {
-        let second = Duration::from_secs(1);
-        let bounds = Bounds { dial: second, idle: second, grace: second };
-        let budget = Budget::new(&Limits::default());
-        let upstream = Rc::new(Upstream::new(bounds, budget.clone(), Figures::new([])));
-        let frontend = Frontend::new(unbounded_channel().0, upstream, Lifecycle::new(), second, budget);
+        let frontend = frontend(&Limits::default(), unbounded_channel().0);
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let client = async {
@@ -751,13 +745,9 @@
     /// A connection that was long between requests makes room before a half-open one does; a fresh one does not.
     #[tokio::test]
     async fn the_long_idle_make_room_before_the_half_open() {
-        let second = Duration::from_secs(1);
-        let bounds = Bounds { dial: second, idle: second, grace: second };
-        let budget = Budget::new(&Limits::default());
-        let upstream = Rc::new(Upstream::new(bounds, budget.clone(), Figures::new([])));
-        let frontend = Frontend::new(unbounded_channel().0, upstream, Lifecycle::new(), second, budget);
+        let frontend = frontend(&Limits::default(), unbounded_channel().0);
         let (now, close) = (Instant::now(), Rc::new(Notify::new()));
-        let half_open = Place::take(&frontend, (Rank::Doubtful, 1), now - second, &close);
+        let half_open = Place::take(&frontend, (Rank::Doubtful, 1), now - Duration::from_secs(1), &close);
         let _long_idle = Place::take(&frontend, (Rank::Idle, 2), now - LONG_IDLE, &close);
         let _idle = Place::take(&frontend, (Rank::Idle, 3), now, &close);
         let left = || frontend.closable.borrow().keys().map(|(_, number)| *number).collect::<Vec<_>>();
