--- a/crates/fleet/src/sockets/stage.rs
+++ b/crates/fleet/src/sockets/stage.rs
@@ -635,6 +635,7 @@
             Incident::Partition(pairs) => self.part(pairs, true),
             Incident::Shift { depot, factor } => self.clients.shift(*depot, *factor),
             Incident::Impatient { share, hurry } => self.clients.impatient(at, Some((*share, *hurry))),
+            Incident::Hasty(haste) => self.clients.hasty(at, Some(*haste)),
             Incident::LateList { .. }
             | Incident::LostAnswers(_)
             | Incident::Resets(_)
@@ -683,6 +684,7 @@
             Incident::Partition(pairs) => self.part(pairs, false),
             Incident::Shift { depot, factor } => self.clients.shift(*depot, factor.recip()),
             Incident::Impatient { .. } => self.clients.impatient(at, None),
+            Incident::Hasty(_) => self.clients.hasty(at, None),
             Incident::LateList { .. }
             | Incident::LostAnswers(_)
             | Incident::Resets(_)
--- a/crates/model/src/clients.rs
+++ b/crates/model/src/clients.rs
@@ -3,12 +3,15 @@
 use rustc_hash::FxHashMap;
 
 use crate::chance::{Chance, Spread};
-use crate::day::{Day, Effect, Entry, NodeId};
+use crate::day::{Day, Effect, Entry, Haste, NodeId};
 use crate::keys::Keys;
 use crate::store::KeyId;
 use crate::time::{Span, Time};
 use crate::trace::{AskId, Event, How, TryId};
 
+/// After so long a hasty client is back: a turn of its own loop.
+const HURRY: Span = Span(1000);
+
 /// How a try ended for its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reply {
@@ -55,6 +58,8 @@
     first: Time,
     tries: u32,
     heeds: bool,
+    /// It is one of the hasty, if any are.
+    haste: Option<Haste>,
 }
 
 /// A try that is open.
@@ -92,6 +97,8 @@
     shares: Vec<f64>,
     /// Share of tries left early, and how many times sooner clients come again, by incident.
     impatient: Vec<(usize, f64, f64)>,
+    /// What makes clients hasty, by incident.
+    hasty: Vec<(usize, Haste)>,
 }
 
 impl Clients {
@@ -113,6 +120,7 @@
             depots: day.nodes.clone(),
             shares: day.clients.node_shares.clone(),
             impatient: Vec::new(),
+            hasty: Vec::new(),
         }
     }
 
@@ -162,7 +170,10 @@
         });
         let effect = (c.effect == Effect::Guarded).then_some(id);
         let heeds = self.chance.happens(self.spec.honours);
-        let asking = Asking { class, tenant, key, work, hint, effect, node, first: now, tries: 0, heeds };
+        // Nothing is drawn while none are: days without them stay as they were.
+        let haste = self.hasty.iter().map(|(_, haste)| *haste).find(|h| self.chance.happens(h.share));
+        let asking =
+            Asking { class, tenant, key, work, hint, effect, node, first: now, tries: 0, heeds, haste };
         self.asks.insert(id, asking);
         vec![Step::Record(Event::Asked { ask: id, class, tenant, key, work }), Step::TryAt(now, id)]
     }
@@ -180,7 +191,8 @@
         };
         asking.tries += 1;
         let rest = (asking.first + class.deadline).since(now);
-        let wait = (class.deadline * self.spec.try_share).min(rest);
+        let gives = class.deadline * self.spec.try_share;
+        let wait = asking.haste.map_or(gives, |haste| haste.gives.min(gives)).min(rest);
         let stays: f64 = self.impatient.iter().map(|(_, share, _)| 1.0 - share).product();
         let leaves = self.chance.happens(1.0 - (1.0 - self.spec.abandons) * stays);
         let until = now + wait;
@@ -221,17 +233,19 @@
     fn again(&mut self, now: Time, ask: AskId, reply: Reply) -> Option<Time> {
         let asking = self.asks.get(&ask)?;
         let class = &self.classes[asking.class];
-        if asking.tries > self.spec.retries {
+        if asking.tries > asking.haste.map_or(self.spec.retries, |haste| haste.again) {
             return None;
         }
         let harmless = matches!(reply, Reply::Answer { how: How::Rejected, .. } | Reply::Unreached);
         let hurry: f64 = self.impatient.iter().map(|(.., hurry)| hurry).product();
         let base = self.spec.backoff * hurry.recip() * f64::from(1u32 << (asking.tries - 1).min(16));
         let mut wait = base * self.chance.between(0.5, 1.5);
-        if let Reply::Answer { advice: Some(advice), .. } = reply {
-            if asking.heeds {
+        match (asking.haste, reply) {
+            (Some(_), _) => wait = HURRY,
+            (None, Reply::Answer { advice: Some(advice), .. }) if asking.heeds => {
                 wait = wait.max(advice.min(self.spec.most_advice));
             }
+            _ => {}
         }
         let at = now + wait;
         let may = match class.effect {
@@ -267,6 +281,12 @@
         self.impatient.extend(begins.map(|(share, hurry)| (number, share, hurry)));
     }
 
+    /// Clients become hasty, under a number, or those that come are no more.
+    pub fn hasty(&mut self, number: usize, begins: Option<Haste>) {
+        self.hasty.retain(|(n, _)| *n != number);
+        self.hasty.extend(begins.map(|haste| (number, haste)));
+    }
+
     /// A surge begins, under a number, or ends.
     pub fn burst(&mut self, number: usize, begins: Option<Burst>) {
         self.bursts.retain(|(n, _)| *n != number);
--- a/crates/model/src/day.rs
+++ b/crates/model/src/day.rs
@@ -266,6 +266,17 @@
     pub list: f64,
 }
 
+/// How some clients are in haste: in a fleet short of room their tries are most of the load and serve next to nobody.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Haste {
+    /// Share of the clients.
+    pub share: f64,
+    /// How long they wait for a try.
+    pub gives: Span,
+    /// How often they come again, at once and whatever they are advised.
+    pub again: u32,
+}
+
 /// What goes wrong, or is done on purpose, and to whom.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Incident {
@@ -325,6 +336,8 @@
         /// Clients come again so many times sooner.
         hurry: f64,
     },
+    /// Clients give a try little time.
+    Hasty(Haste),
     /// Boxes drain, and end when the incident does.
     Drain(Vec<BoxId>),
     /// Boxes start, and are on the list from then on.
@@ -373,6 +386,10 @@
                     share * 100.0
                 )
             }
+            Incident::Hasty(Haste { share, gives, again }) => {
+                let share = share * 100.0;
+                write!(f, "{share:.0} % of the clients give a try {gives} and come again {again} times")
+            }
             Incident::Drain(boxes) => write!(f, "{} boxes drain", boxes.len()),
             Incident::Join(boxes) => write!(f, "{} boxes join", boxes.len()),
             Incident::Burst { factor, keys, .. } => {
--- a/crates/model/src/scenario/draw.rs
+++ b/crates/model/src/scenario/draw.rs
@@ -4,8 +4,8 @@
 use crate::cache_box::BoxSpec;
 use crate::chance::{Chance, Spread};
 use crate::day::{
-    ClassSpec, ClientsSpec, Day, GoalSpec, Incident, KeysSpec, ListSpec, NetworkSpec, PricesSpec, RulesSpec,
-    Scheduled, TenantSpec,
+    ClassSpec, ClientsSpec, Day, GoalSpec, Haste, Incident, KeysSpec, ListSpec, NetworkSpec, PricesSpec,
+    RulesSpec, Scheduled, TenantSpec,
 };
 use crate::planner::PlannerSpec;
 use crate::range::Range;
@@ -316,6 +316,10 @@
                 add(at, rest, Incident::Shift { depot: depot.unwrap_or(0), factor });
             }
             IncidentKind::Impatient => add(at, rest, Incident::Impatient { share, hurry: factor }),
+            IncidentKind::Hasty => {
+                let gives = file.by.map_or(Span::ZERO, |by| by.draw(c));
+                add(at, rest, Incident::Hasty(Haste { share, gives, again: file.rounds.unwrap_or(8) }));
+            }
             IncidentKind::Partition | IncidentKind::CutOff => {
                 add(at, rest, Incident::Partition(self.cut(file, depot)));
             }
--- a/crates/model/src/scenario/mod.rs
+++ b/crates/model/src/scenario/mod.rs
@@ -620,6 +620,9 @@
     Shift,
     /// Clients leave `share` of their tries early, and come again `factor` times sooner.
     Impatient,
+    /// `share` of the clients give each try no more time than `by`, and come again at once, whatever they are advised,
+    /// up to `rounds` times and while their request has time.
+    Hasty,
     /// Boxes drain, and end with the incident.
     Drain,
     /// Boxes of the first kind join, cold.
@@ -669,7 +672,7 @@
     pub class: Option<String>,
     /// Name of a depot, or "any" for one that the seed draws: what it strikes is there, and all of it without a number.
     pub depot: Option<String>,
-    /// How much later.
+    /// How much later, or how long.
     pub by: Option<Range<Span>>,
     /// Only one way is cut.
     pub one_way: Option<bool>,
@@ -681,7 +684,7 @@
     pub each: Option<Span>,
     /// Strikes in so many groups, `each` apart, and not one by one.
     pub steps: Option<u32>,
-    /// So many times over: replacements are replaced in their turn.
+    /// So many times over: replacements are replaced in their turn, and hasty clients come again.
     pub rounds: Option<u32>,
     /// Replacements have the addresses of those that they replace.
     pub same_address: Option<bool>,
--- a/crates/model/src/world/incidents.rs
+++ b/crates/model/src/world/incidents.rs
@@ -24,6 +24,7 @@
             Incident::Partition(pairs) => self.part(pairs, 1),
             Incident::Shift { depot, factor } => self.clients.shift(*depot, *factor),
             Incident::Impatient { share, hurry } => self.clients.impatient(at, Some((*share, *hurry))),
+            Incident::Hasty(haste) => self.clients.hasty(at, Some(*haste)),
             Incident::LateList { .. }
             | Incident::LostAnswers(_)
             | Incident::Resets(_)
@@ -68,6 +69,7 @@
             Incident::Partition(pairs) => self.part(pairs, -1),
             Incident::Shift { depot, factor } => self.clients.shift(*depot, factor.recip()),
             Incident::Impatient { .. } => self.clients.impatient(at, None),
+            Incident::Hasty(_) => self.clients.hasty(at, None),
             Incident::LateList { .. }
             | Incident::LostAnswers(_)
             | Incident::Resets(_)
--- a/crates/model/tests/trouble.rs
+++ b/crates/model/tests/trouble.rs
@@ -66,6 +66,7 @@
             incident("late-list", "by = \"4s\"") + &incident("kill", "lasts = \"1s\"\npart = 0.3"),
         ),
         ("no patience", incident("impatient", "share = 0.5\nfactor = 10.0")),
+        ("in haste", incident("hasty", "share = 0.6\nby = \"60ms\"\nrounds = 20")),
         ("boxes that fail", incident("erring", "share = 0.7\npart = 0.5")),
     ] {
         for seed in 1..=2 {
@@ -224,3 +225,26 @@
         assert!(wrong.line > 2, "{wrong}");
     }
 }
+
+/// Hasty clients come again at once, whatever they are advised, and for as long as their request has time; the others
+/// ask as they ever did.
+#[test]
+fn hasty_clients_give_a_try_little_time_and_come_again_at_once() {
+    let tries_of_the_busiest = |rest: &str| {
+        let (events, verdict) = play(&day(rest, 1));
+        assert!(verdict.is_clean(), "{:?}", verdict.told);
+        let mut tries = std::collections::BTreeMap::<u64, Vec<Time>>::new();
+        for (t, e) in &events {
+            if let Event::Taken { ask, .. } = e {
+                tries.entry(*ask).or_default().push(*t);
+            }
+        }
+        tries.into_values().max_by_key(Vec::len).expect("some ask")
+    };
+    let hasty = incident("hasty", "share = 0.5\nby = \"30ms\"\nrounds = 9");
+    let tries = tries_of_the_busiest(&hasty);
+    assert_eq!(tries.len(), 10);
+    let gaps = tries.windows(2).map(|w| w[1].since(w[0]));
+    assert!(gaps.clone().all(|gap| gap <= Span::from_millis(40)), "{:?}", gaps.collect::<Vec<_>>());
+    assert!(tries_of_the_busiest("").len() < 10);
+}
