Let a client that has gone be seen ahead of the queue of messages

Seen by reading: a hang-up reaches the driver as one message behind all that wait in its inbox, and until its turn attempts begin for requests whose client has closed (driver.rs, take; driver/attempts.rs, send). Nothing on a request's way could tell that its client was gone.

Change: `Gone`, one flag a connection, told by the client's end as it goes and read by the driver before it takes a request and before each attempt.

Result: a_client_that_has_gone_is_seen_ahead_of_the_queue. Without the look in `take` it fails with "the second is not taken, and so not answered"; without that in `send` no outcome comes ("None"): the attempt is out.

--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -93,7 +93,9 @@
     fn take(&mut self, message: Message) {
         self.now = Instant::now();
         match message {
-            Message::Request { id, command, at, reply } => self.request(id, command, at, reply),
+            // It had gone before its turn came: nothing is sent for it.
+            Message::Request { gone, .. } if gone.is_told() => {}
+            Message::Request { id, command, at, reply, gone } => self.request(id, command, at, reply, gone),
             Message::Withdrawn(id) => {
                 if self.close(id).is_some() {
                     self.handle(Event::Withdrawn(id));
--- a/crates/node/src/driver/attempts.rs
+++ b/crates/node/src/driver/attempts.rs
@@ -32,8 +32,9 @@
         let attempt = AttemptId(live.attempts.len() as u32);
         let until = timeout.map_or(live.deadline, |t| (now + duration(t)).min(live.deadline));
         let written = Rc::new(Cell::new(false));
-        // Nothing goes out for a request that has its answer, nor more often than is allowed.
-        let void = live.reply.is_none() || live.attempts.len() >= self.max_attempts || until <= now;
+        // Nothing goes out for a request that has its answer or no client, nor more often than is allowed.
+        let over = live.reply.is_none() || live.gone.is_told();
+        let void = over || live.attempts.len() >= self.max_attempts || until <= now;
         debug!(request = id.0, attempt = attempt.0, server = %server.0, void, "attempt");
         // What is beyond its tenant's part at the box never ran: it says nothing of the box, and the balancer ends
         // the request at once, with when to come back.
--- a/crates/node/src/driver/requests.rs
+++ b/crates/node/src/driver/requests.rs
@@ -12,6 +12,7 @@
 use super::state::{Attempt, Driver, Live, Timer};
 use crate::answer::Answer;
 use crate::figures::{End, Ticket};
+use crate::message::Gone;
 use crate::upstream::Served;
 
 /// What a request's way from the client may have taken before its bytes were read.
@@ -24,6 +25,7 @@
         command: Command,
         at: Instant,
         reply: oneshot::Sender<Answer>,
+        gone: Gone,
     ) {
         // What no client sends in earnest goes no further: cache servers turn it away or close on it, which
         // would look like a sick server, and an answer under an open id could be taken for another's.
@@ -50,8 +52,8 @@
         // The balancer ends a request two rounds ahead; half a round ahead none may be left.
         let backstop = deadline.checked_sub(self.round / 2).unwrap_or(deadline);
         self.timers.push(Reverse((backstop, Timer::Backstop(id.0))));
-        let live =
-            Live { command: Rc::new(command), deadline, reply: Some((reply, ticket)), attempts: Vec::new() };
+        let (command, reply) = (Rc::new(command), Some((reply, ticket)));
+        let live = Live { command, deadline, reply, attempts: Vec::new(), gone };
         self.requests.insert(id, live);
         self.handle(Event::Request(new));
     }
--- a/crates/node/src/driver/state.rs
+++ b/crates/node/src/driver/state.rs
@@ -19,7 +19,7 @@
 use crate::figures::{Figures, Ticket};
 use crate::lifecycle::Lifecycle;
 use crate::log::Throttle;
-use crate::message::Message;
+use crate::message::{Gone, Message};
 use crate::plane::{Fleet, Sent, Use};
 use crate::upstream::Upstream;
 
@@ -40,6 +40,7 @@
     /// Taken when the final answer is given.
     pub(super) reply: Option<(oneshot::Sender<Answer>, Ticket)>,
     pub(super) attempts: Vec<Attempt>,
+    pub(super) gone: Gone,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/node/src/driver/tests.rs
+++ b/crates/node/src/driver/tests.rs
@@ -8,6 +8,7 @@
 use crate::clock::Clock;
 use crate::figures::Figures;
 use crate::lifecycle::Lifecycle;
+use crate::message::Gone;
 use crate::stop::Stop;
 use crate::upstream::{Bounds, Upstream};
 use hallpin_protocol::{next_input, Input};
@@ -61,14 +62,36 @@
 
 /// Hands over a request; its task is not run, so its first attempt stays unsent.
 fn request(driver: &mut Driver, id: RequestId) -> oneshot::Receiver<Answer> {
+    request_of(driver, id, Gone::default())
+}
+
+fn request_of(driver: &mut Driver, id: RequestId, gone: Gone) -> oneshot::Receiver<Answer> {
     let mut text = bytes::BytesMut::from("mg k v Oa Pc=read,d=60000\r\n");
     let Some(Input::Command(command)) = next_input(&mut text) else { panic!("a command") };
     let (reply, answer) = oneshot::channel();
     let _inside = tokio::task::LocalSet::new().enter();
-    driver.take(Message::Request { id, command: *command, at: Instant::now(), reply });
+    driver.take(Message::Request { id, command: *command, at: Instant::now(), reply, gone });
     answer
 }
 
+/// A client that leaves while other messages wait ahead of that one is sent nothing more for, and what comes of it
+/// then is not taken at all.
+#[tokio::test]
+async fn a_client_that_has_gone_is_seen_ahead_of_the_queue() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (mut driver, _inbox, server) = driver(&settings(), listener.local_addr().unwrap());
+    let (gone, id) = (Gone::default(), RequestId(1));
+    let _answer = request_of(&mut driver, id, gone.clone());
+    let local = tokio::task::LocalSet::new();
+    let _inside = local.enter();
+    gone.tell();
+    driver.send(id, server, None);
+    let last = driver.events.back();
+    assert!(matches!(last, Some(Event::Outcome(o)) if o.status == Status::Void), "{last:?}");
+    let mut late = request_of(&mut driver, RequestId(2), gone);
+    assert!(late.try_recv().is_err(), "the second is not taken, and so not answered");
+}
+
 /// Whatever the balancer asks for, no attempt goes out beyond the limit or behind the final answer.
 #[tokio::test]
 async fn sends_over_the_limit_or_after_the_answer_are_void() {
--- a/crates/node/src/frontend/client.rs
+++ b/crates/node/src/frontend/client.rs
@@ -17,7 +17,7 @@
 use crate::budget::Held;
 use crate::figures::{End, Ticket};
 use crate::lifecycle::{Phase, State};
-use crate::message::Message;
+use crate::message::{Gone, Message};
 use crate::upstream::{Broken, Rest};
 
 /// Commands of one connection that may be open at once; more of them wait unread.
@@ -57,6 +57,8 @@
     /// What has yet to come of a long value, which is at its end in the output. Later answers wait.
     pub(super) rest: Option<(Rest, Option<(Ticket, End)>)>,
     pub(super) pending: VecDeque<Pending>,
+    /// Told once nobody waits for what is pending.
+    pub(super) gone: Gone,
     /// The framing is lost: what is pending is answered, then the connection ends.
     pub(super) lost: bool,
     /// Asked to make room for others.
@@ -103,6 +105,7 @@
             unfinished: VecDeque::new(),
             rest: None,
             pending: VecDeque::new(),
+            gone: Gone::default(),
             lost: false,
             leaving: false,
             trusted: false,
@@ -120,6 +123,7 @@
 
     /// Nobody waits for what is pending any more.
     pub(super) fn withdraw(&mut self) {
+        self.gone.tell();
         for pending in self.pending.drain(..) {
             if let Pending::Waiting { id, weight, .. } = pending {
                 self.frontend.budget.release(weight);
@@ -233,9 +237,9 @@
                     let id = RequestId(frontend.number());
                     let weight = command.weight() + MAX_WHOLE;
                     frontend.budget.hold(weight);
-                    let at = self.read_at;
+                    let (command, at, gone) = (*command, self.read_at, self.gone.clone());
                     // The driver is gone only when the program ends.
-                    let _ = frontend.driver.send(Message::Request { id, command: *command, at, reply });
+                    let _ = frontend.driver.send(Message::Request { id, command, at, reply, gone });
                     Pending::Waiting { id, weight, answer }
                 }
                 Input::Ready if frontend.lifecycle.state() == State::Ready => Pending::Ready(protocol::READY),
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -1,5 +1,8 @@
 //! What the parts of the node tell each other.
 
+use std::cell::Cell;
+use std::rc::Rc;
+
 use hallpin_decisions::{AttemptId, FleetNews, RequestId, ServerId, Status};
 use hallpin_protocol::Command;
 use tokio::sync::oneshot;
@@ -10,6 +13,20 @@
 use crate::roster::Roster;
 use crate::upstream::Ended;
 
+/// Whether a client has gone away. All who would still send for it see that at once, however many messages wait.
+#[derive(Clone, Debug, Default)]
+pub struct Gone(Rc<Cell<bool>>);
+
+impl Gone {
+    pub fn tell(&self) {
+        self.0.set(true);
+    }
+
+    pub fn is_told(&self) -> bool {
+        self.0.get()
+    }
+}
+
 /// What the rest of the node tells the driver.
 pub enum Message {
     Request {
@@ -17,6 +34,7 @@
         command: Command,
         at: Instant,
         reply: oneshot::Sender<Answer>,
+        gone: Gone,
     },
     /// The client has gone away.
     Withdrawn(RequestId),
