--- /dev/null
+++ b/crates/node/tests/node/stop.rs
@@ -0,0 +1,77 @@
+//! A planned stop of the real process.
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::mpsc::channel;
+use std::time::Instant;
+
+use crate::rig::*;
+use crate::{slow_key, with_one};
+
+/// What is held is answered, what still comes is served, and the node ends when nobody is left.
+#[test]
+fn sigterm_ends_the_node_when_all_is_answered() {
+    let (open, slow) = slow_key();
+    let (node, server, _list) = with_one(slow);
+    let mut holding = node.connect();
+    holding.send(&read("slow", "q1", 9000));
+    server.command();
+    let mut idle = node.connect();
+    assert_eq!(idle.ask(&read("k", "q2", 9000)), served("q2"));
+    let signalled = Instant::now();
+    node.signal("-TERM");
+    // Connections come for 0.4 s more. On a machine too busy to connect by then there is nothing to see.
+    let late = TcpStream::connect(node.address);
+    if signalled.elapsed().as_millis() < 400 {
+        let mut late = Client::over(late.expect("still accepted"));
+        assert_eq!(late.ask(&read("k", "q3", 9000)), served("q3"));
+        assert_eq!(late.answer(), "", "closed between requests");
+    }
+    node.logged("stopping");
+    assert_eq!(idle.answer(), "", "closed between requests");
+    drop(open);
+    assert_eq!(holding.answer(), served("q1"));
+    assert_eq!(holding.answer(), "");
+    assert_eq!(node.wait().code(), Some(0));
+}
+
+/// Under load, a stop answers all that it takes: a connection ends between requests and never in place of an answer.
+#[test]
+fn sigterm_under_load_leaves_no_request_unanswered() {
+    // Each takes a moment, so that some are out at any time.
+    let (node, server, _list) = with_one(|_| {
+        std::thread::sleep(std::time::Duration::from_millis(20));
+        Act::Serve
+    });
+    let address = node.address;
+    let (tell, served_one) = channel();
+    let clients: Vec<_> = (0..8)
+        .map(|c| {
+            let tell = tell.clone();
+            std::thread::spawn(move || {
+                let mut client = Client::over(TcpStream::connect(address).unwrap());
+                let mut answered = 0;
+                loop {
+                    let id = format!("z{c}x{answered}");
+                    if client.stream.write_all(read("k", &id, 9000).as_bytes()).is_err() {
+                        return answered;
+                    }
+                    let answer = client.answer();
+                    if answer.is_empty() {
+                        return answered;
+                    }
+                    assert!(answer == served(&id) || answer == "SERVER_ERROR busy\r\n", "{answer}");
+                    answered += 1;
+                    let _ = tell.send(());
+                }
+            })
+        })
+        .collect();
+    for _ in 0..100 {
+        served_one.recv().unwrap();
+    }
+    node.signal("-TERM");
+    let answered: usize = clients.into_iter().map(|client| client.join().unwrap()).sum();
+    assert_eq!(node.wait().code(), Some(0));
+    assert!(server.commands().len() <= answered, "each request that went on was answered");
+}
