--- a/crates/node/src/budget.rs
+++ b/crates/node/src/budget.rs
@@ -1,6 +1,9 @@
 //! How much of the configured limits each part may use. While two processes serve one address, at a takeover, the
 //! limits hold for both together and each has half.
 
+#[cfg(test)]
+mod tests;
+
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -96,26 +99,3 @@
         self.budget.release(self.bytes);
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn two_processes_stay_within_the_limits_of_one() {
-        let limits = Limits { memory_mb: 48, sockets: 384 };
-        let budget = Budget::new(&limits);
-        let in_all = |b: &Budget| b.servers() + b.clients() + RESERVED;
-        assert_eq!(in_all(&budget), 384);
-        let mut held = Held::new(&budget, 1);
-        held.set(7 << 20);
-        assert!(budget.has_room());
-        budget.join();
-        assert!(!budget.has_room());
-        assert!(2 * in_all(&budget) <= 384 && budget.clients_wanted() <= budget.clients());
-        budget.leave();
-        assert_eq!(in_all(&budget), 384);
-        drop(held);
-        assert_eq!(budget.held.get(), 0);
-    }
-}
--- /dev/null
+++ b/crates/node/src/budget/tests.rs
@@ -0,0 +1,21 @@
+//! The limits, shared by two processes.
+
+use super::*;
+
+#[test]
+fn two_processes_stay_within_the_limits_of_one() {
+    let limits = Limits { memory_mb: 48, sockets: 384 };
+    let budget = Budget::new(&limits);
+    let in_all = |b: &Budget| b.servers() + b.clients() + RESERVED;
+    assert_eq!(in_all(&budget), 384);
+    let mut held = Held::new(&budget, 1);
+    held.set(7 << 20);
+    assert!(budget.has_room());
+    budget.join();
+    assert!(!budget.has_room());
+    assert!(2 * in_all(&budget) <= 384 && budget.clients_wanted() <= budget.clients());
+    budget.leave();
+    assert_eq!(in_all(&budget), 384);
+    drop(held);
+    assert_eq!(budget.held.get(), 0);
+}
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -1,5 +1,8 @@
 //! The times of a planned stop: what the platform leaves a node between SIGTERM and the kill, and how it is spent.
 
+#[cfg(test)]
+mod tests;
+
 use std::time::Duration;
 
 /// The kill comes no sooner after SIGTERM than the longest deadline, this at most, and [`GRACE`] more.
@@ -26,21 +29,3 @@
         Stop { part_after: GRACE - AHEAD, end_after: counted + GRACE - AHEAD }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn what_comes_until_connections_close_has_its_whole_deadline_before_the_kill() {
-        let ms = Duration::from_millis;
-        for (longest, kill) in
-            [(200, 900), (2000, 2700), (3000, 3700), (9000, 3700)].map(|(a, b)| (ms(a), ms(b)))
-        {
-            let stop = Stop::of(longest);
-            assert!(stop.end_after < kill, "{longest:?}: the last answer at {:?}", stop.end_after);
-            let whole = stop.end_after - stop.part_after;
-            assert_eq!(whole, longest.min(ms(3000)), "left for what comes last");
-        }
-    }
-}
