Serve what waits in the listener's queue before a stop closes it

At a stop the node accepted for 0.5 s and then dropped its listener, whatever waited in the queue: the system resets that, and of connections that it had accepted the requests count as taken. A node that is late (no core for some moments, hundreds at once) loses all of them. Seen by stopping the process over the end of the 0.5 s; the time-out round accept in lib.rs was at fault. Ruled out: the queue in a takeover, which another process holds too.

Accepting now ends when the time is up and the queue is empty, or after as many connections as it can hold, so that a flood does not put off the end. Frontend::accept_until is the one new call in the frontend.

--- a/crates/node/src/frontend/mod.rs
+++ b/crates/node/src/frontend/mod.rs
@@ -6,12 +6,14 @@
 #[cfg(test)]
 mod tests;
 
+use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 use tracing::warn;
 
 use client::Client;
@@ -19,15 +21,26 @@
 pub use shared::Frontend;
 use shared::{Closable, Rank};
 
+use crate::takeover::BACKLOG;
+
 /// Wait before accepting again after a failure: other connections close meanwhile.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
 
 impl Frontend {
     /// Accepts for ever: what the kernel has accepted counts as taken, so a full node makes room instead.
     pub async fn accept(self: Rc<Self>, listener: &TcpListener) {
+        self.accept_until(listener, None).await;
+    }
+
+    /// Accepts until then, and what has come by then: a listener that closes resets what waits in its queue, and of
+    /// that the requests count as taken.
+    pub async fn accept_until(self: Rc<Self>, listener: &TcpListener, until: Option<Instant>) {
         let mut failing = false;
-        loop {
-            let accepted = listener.accept().await;
+        // More cannot have waited when the time was up: a flood that goes on must not hold up the end.
+        let mut last = BACKLOG;
+        while last > 0 {
+            let Some(accepted) = next(listener, until).await else { return };
+            last -= u32::from(until.is_some_and(|until| until <= Instant::now()));
             // Clients that keep what they have asked once on hold a part of what clients may hold in all: once
             // that is full nobody comes, and nobody would make room.
             let room = self.open.get() < self.budget.clients_wanted() || self.make_room();
@@ -64,3 +77,14 @@
         Client::new(self, stream, number, since, close).serve().await;
     }
 }
+
+/// The next connection, or none where the time is up and none waits.
+async fn next(listener: &TcpListener, until: Option<Instant>) -> Option<io::Result<(TcpStream, SocketAddr)>> {
+    let Some(until) = until else { return Some(listener.accept().await) };
+    if let Ok(accepted) = timeout_at(until, listener.accept()).await {
+        return Some(accepted);
+    }
+    // Behind this the runtime has heard of all that had come when the time was up.
+    tokio::task::yield_now().await;
+    timeout(Duration::ZERO, listener.accept()).await.ok()
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,23 +15,23 @@
 mod message;
 mod operator;
 mod plane;
+mod reload;
 mod roster;
 mod stop;
 mod succession;
 mod takeover;
 mod upstream;
 
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
-use tokio::time::{interval, sleep, timeout};
+use tokio::time::{interval, sleep, Instant};
 use tracing::{error, info, warn};
 
 use budget::Budget;
@@ -44,6 +44,7 @@
 use lifecycle::Lifecycle;
 use operator::Operator;
 use plane::{Fleet, Setup};
+use reload::reload;
 use roster::Roster;
 use stop::Stop;
 use succession::{accept, listen, succeed};
@@ -55,26 +56,6 @@
 /// How often kept connections are looked at.
 const SWEEP: Duration = Duration::from_secs(1);
 
-/// Reads the configuration anew at each SIGHUP, for where discovery is now, and contracts; all else needs a new start.
-async fn reload(
-    path: PathBuf,
-    mut hangup: Signal,
-    discovery: watch::Sender<SocketAddr>,
-    fleet: Option<Rc<Fleet>>,
-) {
-    while hangup.recv().await.is_some() {
-        match Config::read(&path).and_then(|config| config.settings().map(|_| config.discovery)) {
-            Ok(address) => {
-                discovery.send_if_modified(|at| std::mem::replace(at, address) != address);
-            }
-            Err(Wrong(what)) => warn!("{what}; the old configuration stands"),
-        }
-        if let Some(fleet) = &fleet {
-            fleet.reload();
-        }
-    }
-}
-
 async fn run(options: Options) -> Result<(), Failure> {
     let path = Config::path(options.config)?;
     let config = Config::read(&path)?;
@@ -153,7 +134,7 @@
             let offer = Offer { path, socket: Rc::downgrade(&listener), budget, successor };
             tokio::task::spawn_local(offer.run());
         }
-        accept(&frontend, &listener, succeeded.clone()).await;
+        accept(&frontend, &listener, succeeded.clone(), None).await;
     };
     tokio::select! {
         () = serve => {}
@@ -164,7 +145,7 @@
     info!("stopping");
     lifecycle.stop(*succeeded.borrow() == Successor::Serving, times);
     let stop = async {
-        let _ = timeout(STILL_COMING, accept(&frontend, &listener, succeeded)).await;
+        accept(&frontend, &listener, succeeded, Some(Instant::now() + STILL_COMING)).await;
         drop(listener);
         frontend.finish().await;
     };
--- /dev/null
+++ b/crates/node/src/reload.rs
@@ -0,0 +1,32 @@
+//! A new configuration while the node runs: where discovery is, and the contracts.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+
+use tokio::signal::unix::Signal;
+use tokio::sync::watch;
+use tracing::warn;
+
+use crate::config::{Config, Wrong};
+use crate::plane::Fleet;
+
+/// Reads the configuration anew at each SIGHUP, for where discovery is now, and contracts; all else needs a new start.
+pub async fn reload(
+    path: PathBuf,
+    mut hangup: Signal,
+    discovery: watch::Sender<SocketAddr>,
+    fleet: Option<Rc<Fleet>>,
+) {
+    while hangup.recv().await.is_some() {
+        match Config::read(&path).and_then(|config| config.settings().map(|_| config.discovery)) {
+            Ok(address) => {
+                discovery.send_if_modified(|at| std::mem::replace(at, address) != address);
+            }
+            Err(Wrong(what)) => warn!("{what}; the old configuration stands"),
+        }
+        if let Some(fleet) = &fleet {
+            fleet.reload();
+        }
+    }
+}
--- a/crates/node/src/succession.rs
+++ b/crates/node/src/succession.rs
@@ -5,6 +5,7 @@
 
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::time::{sleep_until, Instant};
 use tracing::{info, warn};
 
 use crate::budget::Budget;
@@ -42,20 +43,30 @@
     });
 }
 
-/// Accepts, but for the time in which a successor does.
+/// Accepts, but for the time in which a successor does; for ever, or until then and what has come by then.
 pub async fn accept(
     frontend: &Rc<Frontend>,
     listener: &TcpListener,
     mut successor: watch::Receiver<Successor>,
+    until: Option<Instant>,
 ) {
     loop {
         let serving = *successor.borrow_and_update() == Successor::Serving;
         tokio::select! {
-            () = frontend.clone().accept(listener), if !serving => {}
+            () = take(frontend, listener, until), if !serving => return,
+            // What waits in the queue is the successor's.
+            () = sleep_until(until.unwrap_or_else(Instant::now)), if serving && until.is_some() => return,
             changed = successor.changed() => if changed.is_err() {
                 // Nothing is offered, so nobody succeeds.
-                return frontend.clone().accept(listener).await;
+                return take(frontend, listener, until).await;
             }
         }
     }
 }
+
+async fn take(frontend: &Rc<Frontend>, listener: &TcpListener, until: Option<Instant>) {
+    match until {
+        None => frontend.clone().accept(listener).await,
+        Some(_) => frontend.clone().accept_until(listener, until).await,
+    }
+}
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -36,7 +36,7 @@
 /// Whoever is at the name hands the socket over at once, or there is nobody.
 const PATIENCE: Duration = Duration::from_secs(1);
 /// Connections that may wait to be accepted.
-const BACKLOG: u32 = 1024;
+pub const BACKLOG: u32 = 1024;
 /// Wait before looking for a successor again after a failure.
 const PAUSE: Duration = Duration::from_millis(100);
 
--- a/crates/node/tests/node/stop.rs
+++ b/crates/node/tests/node/stop.rs
@@ -75,3 +75,26 @@
     assert_eq!(node.wait().code(), Some(0));
     assert!(server.commands().len() <= answered, "each request that went on was answered");
 }
+
+/// What the kernel has accepted counts as taken: connections that come while the node does not run, just before it
+/// stops listening, are answered as any other. A listener that closes would reset them.
+#[test]
+fn what_waits_in_the_queue_when_listening_ends_is_answered() {
+    let (node, _server, _list) = with_one(|_| Act::Serve);
+    node.signal("-TERM");
+    node.logged("stopping");
+    node.signal("-STOP");
+    let mut waiting: Vec<Client> = (0..100).map(|_| node.connect()).collect();
+    for (n, client) in waiting.iter_mut().enumerate() {
+        client.send(&read("k", &format!("w{n}"), 9000));
+    }
+    // Until connections come no more; any longer does as well.
+    std::thread::sleep(std::time::Duration::from_millis(700));
+    node.signal("-CONT");
+    for (n, client) in waiting.iter_mut().enumerate() {
+        let (id, answer) = (format!("w{n}"), client.answer());
+        assert!(answer == served(&id) || answer == "SERVER_ERROR busy\r\n", "{id}: {answer:?}");
+    }
+    drop(waiting);
+    assert_eq!(node.wait().code(), Some(0));
+}
