Keep to the descriptors that the system allows where the settings allow more

With limits.sockets over the process's own limit (ulimit -n) idle clients filled every descriptor: the budget left its 32 in reserve, a third for cache servers and the operators' callers out of a sum that the system never gave. Discovery was reached by luck of a client just closed, cache servers were not. Budget::new counted from limits.sockets alone; it now counts from the lesser of the two. Ruled out: where both are equal (92 and 92) the reserve holds at the start and in mid-run, with 300 clients that come again at once.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use hallpin_decisions::Settings;
+use rustix::process::{getrlimit, Resource};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use serde_json::Value;
@@ -47,6 +48,14 @@
     }
 }
 
+impl Limits {
+    /// These, or what the system allows this process where that is less.
+    pub fn allowed(&self) -> Self {
+        let allowed = getrlimit(Resource::Nofile).current.and_then(|allowed| usize::try_from(allowed).ok());
+        Limits { sockets: allowed.unwrap_or(usize::MAX).min(self.sockets), ..*self }
+    }
+}
+
 /// One line that names what is wrong with what the node was given.
 #[derive(Debug, thiserror::Error)]
 #[error("{0}")]
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -69,7 +69,7 @@
 
     let lifecycle = Lifecycle::new();
     let figures = Figures::new(settings.classes.iter().map(|class| class.name.as_str()));
-    let budget = Budget::new(&config.limits);
+    let budget = Budget::new(&config.limits.allowed());
     let bounds = Bounds {
         dial: seconds("limits.dial-timeout-s", settings.limits.connect_timeout)?,
         idle: config.idle_close()?,
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -7,6 +7,7 @@
 mod long_values;
 mod malformed;
 mod operators;
+mod outage;
 mod outcomes;
 mod requests;
 #[path = "../rig/mod.rs"]
--- a/crates/node/tests/rig/list.rs
+++ b/crates/node/tests/rig/list.rs
@@ -37,9 +37,13 @@
 
 impl List {
     pub fn start(members: &[String]) -> (Self, SocketAddr) {
+        Self::on(TcpListener::bind("127.0.0.1:0").unwrap(), members)
+    }
+
+    /// On a listener that may have been silent so far.
+    pub fn on(listener: TcpListener, members: &[String]) -> (Self, SocketAddr) {
         let listed = Listed { revision: 1, members: members.join(","), faults: Vec::new(), read: 0 };
         let list = List(Arc::new((Mutex::new(listed), Condvar::new())));
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let shared = list.clone();
         spawn(move || {
