Part from kept clients before the kill where a successor serves and deadlines are short

A process that is told to end while its successor serves kept resting clients' connections for 1.5 s, a drain's time. The kill comes at the longest deadline and 0.7 s: with deadlines under 0.8 s first, and it resets what clients had just sent. Lifecycle::stop took DRAIN_PARTS_AFTER whatever the deadlines; it is now at most the middle between the parting time of a stop and its end, so a request that comes last has half of the longest deadline. With deadlines of 1.8 s and more nothing changes.

Without the mend the test fails: '100 ms: parts after 1.5s, kill 800ms'.

--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -125,7 +125,11 @@
         // Stopping already is what was asked for.
         if self.turn(|_| State::Stopping).is_ok() {
             self.phase.send_modify(|phase| {
-                let part_after = if relieved { DRAIN_PARTS_AFTER } else { times.part_after };
+                let part_after = if relieved {
+                    DRAIN_PARTS_AFTER.min(times.relieved_part_after())
+                } else {
+                    times.part_after
+                };
                 let ends = Some(phase.since + times.end_after);
                 *phase = Phase { relieved, part_after, ends, ..*phase };
             });
--- a/crates/node/src/lifecycle/tests.rs
+++ b/crates/node/src/lifecycle/tests.rs
@@ -52,3 +52,21 @@
     assert_eq!(after(&life), DRAIN_PARTS_AFTER);
     assert_eq!(life.phase().ends, Some(life.phase().since + times.end_after));
 }
+
+/// Where a successor serves, kept connections part later, but never so late that the kill comes first: a client that
+/// rests until then would be cut off, and what it asked with it.
+#[test]
+fn a_relieved_process_parts_from_its_clients_before_the_kill() {
+    let ms = Duration::from_millis;
+    for longest in [100, 250, 480, 1000, 3000, 9000] {
+        let (life, times) = (Lifecycle::new(), Stop::of(ms(longest)));
+        life.stop(true, times);
+        let after = life.phase().parts().unwrap() - life.phase().since;
+        let kill = ms(longest.min(3000) + 700);
+        assert!(
+            after + ms(longest.min(3000) / 2) < kill,
+            "{longest} ms: parts after {after:?}, kill {kill:?}"
+        );
+        assert!((times.part_after..=DRAIN_PARTS_AFTER).contains(&after), "{longest} ms: {after:?}");
+    }
+}
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -28,4 +28,10 @@
         // still has its whole deadline, as far as the platform counts that.
         Stop { part_after: GRACE - AHEAD, end_after: counted + GRACE - AHEAD }
     }
+
+    /// By when kept connections are closed where another process accepts at this address: behind an answer no close
+    /// crosses with a request, so a client that rests is waited for, and what it then asks has half of that time.
+    pub fn relieved_part_after(&self) -> Duration {
+        (self.part_after + self.end_after) / 2
+    }
 }
