Let a stop and a takeover cross without leaving anyone in the queue

Three moments, each seen in a test of two real processes: A new process that was told to end before it knew a server accepted for 0.5 s all the same, and refused what its predecessor would have served: it now accepts at a stop only if it did before. An old process that was told to end while the new one knew no server closed its listener after 0.5 s, and until it had ended (up to the longest deadline and more) nobody accepted: it now says so on the takeover's connection, and the new one accepts from then on. Processes of before this change take that word for the old one's end, which also makes them accept. A process that waited for somebody silent at the socket's name heard SIGTERM only after that (1 s), and then listened: it now ends. SIGTERM and SIGHUP are also caught before the configuration is read. Ruled out: told twice, or while the list was never read, a node ends as ever; a test stays.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 mod takeover;
 mod upstream;
 
+use std::cell::Cell;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -29,7 +30,7 @@
 
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::LocalSet;
 use tokio::time::{interval, sleep, Instant};
 use tracing::{error, info, warn};
@@ -57,13 +58,14 @@
 const SWEEP: Duration = Duration::from_secs(1);
 
 async fn run(options: Options) -> Result<(), Failure> {
+    // First of all: until then either of them ends the process.
+    let mut terminate = signal(SignalKind::terminate()).map_err(wrong("SIGTERM"))?;
+    let hangup = signal(SignalKind::hangup()).map_err(wrong("SIGHUP"))?;
     let path = Config::path(options.config)?;
     let config = Config::read(&path)?;
     let (seed, settings, operator_at) = (config.seed()?, config.settings()?, config.operator()?);
     let setup = options.fleet.as_deref().map(|file| Setup::read(file, &config)).transpose()?;
     let clock = Clock::start();
-    let mut terminate = signal(SignalKind::terminate()).map_err(wrong("SIGTERM"))?;
-    let hangup = signal(SignalKind::hangup()).map_err(wrong("SIGHUP"))?;
     let longest = settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
     let times = Stop::of(seconds("hard-limit-s", longest)?);
 
@@ -97,7 +99,14 @@
         driver.known(Roster::from_json(known.get().as_bytes(), &clock).map_err(wrong("known"))?);
     }
     let frontend = Frontend::new(messages.clone(), upstream.clone(), lifecycle.clone(), budget.clone());
-    let (listener, predecessor) = listen(config.listen).await?;
+    let (listener, predecessor) = tokio::select! {
+        listening = listen(config.listen) => listening?,
+        // A predecessor that is slow to hand over may be waited for.
+        _ = terminate.recv() => {
+            info!("stopping, before listening");
+            return Ok(());
+        }
+    };
     let listener = Rc::new(listener);
     let address = listener.local_addr().map_err(wrong("listen"))?;
     info!("listening on {address}");
@@ -126,12 +135,16 @@
         tokio::task::spawn_local(fleet.run());
     }
     let (successor, succeeded) = watch::channel(Successor::None);
+    // Whether this process takes connections: one that takes over leaves them to its predecessor at first.
+    let (accepts, closed) = (Cell::new(false), Rc::new(Notify::new()));
     let serve = async {
         if let Some(predecessor) = predecessor {
             succeed(predecessor, &lifecycle, budget.clone()).await;
         }
+        accepts.set(true);
         if let Some(path) = takeover::name(address) {
-            let offer = Offer { path, socket: Rc::downgrade(&listener), budget, successor };
+            let socket = Rc::downgrade(&listener);
+            let offer = Offer { path, socket, budget, successor, closed: closed.clone() };
             tokio::task::spawn_local(offer.run());
         }
         accept(&frontend, &listener, succeeded.clone(), None).await;
@@ -145,8 +158,12 @@
     info!("stopping");
     lifecycle.stop(*succeeded.borrow() == Successor::Serving, times);
     let stop = async {
-        accept(&frontend, &listener, succeeded, Some(Instant::now() + STILL_COMING)).await;
+        // What waits in the queue of a predecessor is served by that.
+        if accepts.get() {
+            accept(&frontend, &listener, succeeded, Some(Instant::now() + STILL_COMING)).await;
+        }
         drop(listener);
+        closed.notify_one();
         frontend.finish().await;
     };
     tokio::select! {
--- a/crates/node/src/succession.rs
+++ b/crates/node/src/succession.rs
@@ -27,14 +27,14 @@
     Ok((listener, None))
 }
 
-/// Leaves accepting to the predecessor until this process can serve, and shares the limits with it while it runs.
+/// Leaves accepting to the predecessor until this process can serve or that one accepts no more, and shares the limits with it while it runs.
 pub async fn succeed(mut predecessor: Predecessor, lifecycle: &Lifecycle, budget: Rc<Budget>) {
     budget.join();
     let mut phases = lifecycle.follow();
     tokio::select! {
         // The lifecycle outlives this.
         _ = phases.wait_for(|phase| phase.state == State::Ready) => predecessor.relieve().await,
-        () = predecessor.gone() => {}
+        () = predecessor.closed() => info!("the predecessor accepts no more"),
     }
     tokio::task::spawn_local(async move {
         predecessor.gone().await;
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -23,7 +23,7 @@
 use socket2::{Protocol, SockRef, Type};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, TcpSocket, UnixListener, UnixStream};
-use tokio::sync::watch;
+use tokio::sync::{watch, Notify};
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
 
@@ -33,6 +33,8 @@
 const GREETING: &[u8] = b"hallpin takeover 1\n";
 /// What the new process says once it serves.
 const SERVING: u8 = b's';
+/// What the old process says once it accepts no more.
+const CLOSED: u8 = b'c';
 /// Whoever is at the name hands the socket over at once, or there is nobody.
 const PATIENCE: Duration = Duration::from_secs(1);
 /// Connections that may wait to be accepted.
@@ -80,9 +82,14 @@
         let _ = self.stream.write_all(&[SERVING]).await;
     }
 
+    /// Waits until it accepts no more; its end tells that too.
+    pub async fn closed(&mut self) {
+        let _ = self.stream.read(&mut [0]).await;
+    }
+
     /// Waits until it has ended.
     pub async fn gone(&mut self) {
-        let _ = self.stream.read(&mut [0]).await;
+        while self.stream.read(&mut [0]).await.is_ok_and(|read| read > 0) {}
     }
 }
 
@@ -168,6 +175,8 @@
     pub socket: Weak<TcpListener>,
     pub budget: Rc<Budget>,
     pub successor: watch::Sender<Successor>,
+    /// Told when this process accepts no more.
+    pub closed: Rc<Notify>,
 }
 
 impl Offer {
@@ -202,10 +211,18 @@
         self.budget.join();
         self.successor.send_replace(Successor::Starting);
         let mut word = [0];
-        while matches!(stream.read(&mut word).await, Ok(1)) {
-            if word[0] == SERVING {
-                info!("the successor serves");
-                self.successor.send_replace(Successor::Serving);
+        loop {
+            tokio::select! {
+                read = stream.read(&mut word) => match read {
+                    Ok(1) if word[0] == SERVING => {
+                        info!("the successor serves");
+                        self.successor.send_replace(Successor::Serving);
+                    }
+                    Ok(1) => {}
+                    _ => break,
+                },
+                // One that does not serve yet has to accept all the same: nobody else does.
+                () = self.closed.notified() => drop(stream.write_all(&[CLOSED]).await),
             }
         }
         info!("the successor is gone");
--- a/crates/node/src/takeover/tests.rs
+++ b/crates/node/src/takeover/tests.rs
@@ -22,7 +22,8 @@
 fn offer(path: &Path, socket: &Rc<TcpListener>) -> (Offer, watch::Receiver<Successor>) {
     let budget = Budget::new(&Default::default());
     let (successor, told) = watch::channel(Successor::None);
-    (Offer { path: path.into(), socket: Rc::downgrade(socket), budget, successor }, told)
+    let (socket, closed) = (Rc::downgrade(socket), Rc::default());
+    (Offer { path: path.into(), socket, budget, successor, closed }, told)
 }
 
 /// A connection that waits in the queue when the old process closes its end is the new one's; the old one is
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -14,6 +14,7 @@
 mod rig;
 mod stop;
 mod takeover;
+mod takeover_stop;
 
 use std::net::TcpListener;
 use std::sync::mpsc::{channel, Sender};
--- a/crates/node/tests/node/stop.rs
+++ b/crates/node/tests/node/stop.rs
@@ -1,7 +1,7 @@
 //! A planned stop of the real process.
 
 use std::io::Write;
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::sync::mpsc::channel;
 use std::time::Instant;
 
@@ -98,3 +98,24 @@
     drop(waiting);
     assert_eq!(node.wait().code(), Some(0));
 }
+
+/// A second word changes nothing, nor does one that comes before the list was ever read.
+#[test]
+fn a_node_that_was_never_ready_ends_when_told_twice() {
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let node = Setup::default().start(silent.local_addr().unwrap());
+    let (mut idle, mut asking) = (node.connect(), node.connect());
+    assert_eq!(idle.ask("mn\r\n"), "SERVER_ERROR not ready\r\n");
+    asking.send(&read("k", "n1", 9000));
+    node.reaches("app_pending", 0);
+    for _ in 0..2 {
+        node.signal("-TERM");
+    }
+    node.logged("stopping");
+    assert_eq!(node.call("resume\n"), "fail already stopping\n");
+    node.signal("-TERM");
+    assert_eq!(asking.answer(), "SERVER_ERROR busy\r\n", "with no server it is refused, and answered");
+    assert_eq!((idle.answer(), asking.answer()), (String::new(), String::new()), "closed between requests");
+    drop((idle, asking));
+    assert_eq!(node.wait().code(), Some(0));
+}
--- a/crates/node/tests/node/takeover.rs
+++ b/crates/node/tests/node/takeover.rs
@@ -7,7 +7,7 @@
 use crate::slow_key;
 
 /// A node with one cache server that holds what is asked of the key `slow` until the sender is dropped.
-fn with_a_slow_key(folder: &Folder) -> (Setup, std::net::SocketAddr, Sender<()>, CacheServer, List) {
+pub fn with_a_slow_key(folder: &Folder) -> (Setup, std::net::SocketAddr, Sender<()>, CacheServer, List) {
     let (open, slow) = slow_key();
     let server = CacheServer::start(slow);
     let known = member("s-1", server.address, "ready");
