Wait for an address that an earlier process still holds, and serve clients meanwhile

A node that was started while its predecessor was ending found its address in use and exited with 2; so it did for the operators' address, which the predecessor keeps until it has ended, and by then it listened already: what clients had sent in between was reset. Both binds in lib.rs and succession.rs failed at the first try. Now the operators' address is bound first, so that one that cannot be had at all ends the start before anything listens; while either is held (address in use, nothing else) the node tries again, 10 s for the clients' address with one line in the log, and for the operators' beside serving. Ruled out: a predecessor of the same kind shares the clients' address (SO_REUSEPORT), there no start failed; connections that the system hands to a predecessor that hangs wait there until it is killed, as before.

--- a/crates/node/src/frontend/mod.rs
+++ b/crates/node/src/frontend/mod.rs
@@ -21,7 +21,7 @@
 pub use shared::Frontend;
 use shared::{Closable, Rank};
 
-use crate::takeover::BACKLOG;
+use crate::port::BACKLOG;
 
 /// Wait before accepting again after a failure: other connections close meanwhile.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 mod message;
 mod operator;
 mod plane;
+mod port;
 mod reload;
 mod roster;
 mod stop;
@@ -28,7 +29,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::LocalSet;
@@ -99,6 +99,8 @@
         driver.known(Roster::from_json(known.get().as_bytes(), &clock).map_err(wrong("known"))?);
     }
     let frontend = Frontend::new(messages.clone(), upstream.clone(), lifecycle.clone(), budget.clone());
+    // First the one that takes nobody's requests: what is wrong with it is found before clients come.
+    let operator_at = operator_at.map(|at| Operator::bind(at).map(|bound| (at, bound))).transpose()?;
     let (listener, predecessor) = tokio::select! {
         listening = listen(config.listen) => listening?,
         // A predecessor that is slow to hand over may be waited for.
@@ -110,11 +112,9 @@
     let listener = Rc::new(listener);
     let address = listener.local_addr().map_err(wrong("listen"))?;
     info!("listening on {address}");
-    if let Some(address) = operator_at {
-        let listener = TcpListener::bind(address).await.map_err(wrong(&format!("operator {address}")))?;
-        info!("operators call at {}", listener.local_addr().map_err(wrong("operator"))?);
+    if let Some((address, bound)) = operator_at {
         let operator = Operator::new(lifecycle.clone(), figures, messages.clone());
-        tokio::task::spawn_local(operator.accept(listener));
+        tokio::task::spawn_local(operator.run(address, bound));
     }
 
     let (moved, discovery_at) = watch::channel(config.discovery);
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -6,7 +6,8 @@
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
-use std::io;
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,11 +17,13 @@
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
-use tracing::info;
+use tracing::{info, warn};
 
+use crate::config::{wrong, Wrong};
 use crate::figures::{Figures, Members};
 use crate::lifecycle::{AlreadyStopping, Lifecycle, State};
 use crate::message::Message;
+use crate::port;
 
 /// Callers that are heard at once, each with a descriptor. One more takes the place of the oldest.
 pub const MAX_CALLERS: usize = 8;
@@ -108,8 +111,36 @@
         Rc::new(Operator { lifecycle, figures, driver, callers: RefCell::default() })
     }
 
-    /// Hears callers for ever.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+    /// Where operators call; nothing yet where an earlier process still holds that, as it does until it has ended.
+    pub fn bind(address: SocketAddr) -> Result<Option<TcpListener>, Wrong> {
+        match port::bind(address, false) {
+            Ok(listener) => Ok(Some(listener)),
+            Err(error) if error.kind() == ErrorKind::AddrInUse => Ok(None),
+            Err(error) => Err(wrong(&format!("operator {address}"))(error)),
+        }
+    }
+
+    /// Hears callers for ever, as soon as the address is free.
+    pub async fn run(self: Rc<Self>, address: SocketAddr, mut bound: Option<TcpListener>) {
+        let listener = loop {
+            if let Some(listener) = bound {
+                break listener;
+            }
+            match port::bind_when_free(address, false).await {
+                Ok(listener) => bound = Some(listener),
+                Err(error) => {
+                    warn!("operator {address}: {error}; trying on");
+                    sleep(PATIENCE).await;
+                }
+            }
+        };
+        if let Ok(address) = listener.local_addr() {
+            info!("operators call at {address}");
+        }
+        self.accept(listener).await;
+    }
+
+    async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => self.admit(stream),
--- a/crates/node/src/succession.rs
+++ b/crates/node/src/succession.rs
@@ -12,6 +12,7 @@
 use crate::config::{wrong, Wrong};
 use crate::frontend::Frontend;
 use crate::lifecycle::{Lifecycle, State};
+use crate::port::bind_when_free;
 use crate::takeover::{self, Predecessor, Successor};
 
 /// The socket of a process that serves there already, or one of this process's own.
@@ -23,7 +24,8 @@
             Err(error) => warn!(path = %path.display(), %error, "no takeover; listening anew"),
         }
     }
-    let listener = takeover::bind(address).map_err(wrong(&format!("listen {address}")))?;
+    // Others may listen there too: where a takeover fails, this process serves all the same.
+    let listener = bind_when_free(address, true).await.map_err(wrong(&format!("listen {address}")))?;
     Ok((listener, None))
 }
 
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -22,7 +22,7 @@
 };
 use socket2::{Protocol, SockRef, Type};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
-use tokio::net::{TcpListener, TcpSocket, UnixListener, UnixStream};
+use tokio::net::{TcpListener, UnixListener, UnixStream};
 use tokio::sync::{watch, Notify};
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
@@ -37,8 +37,6 @@
 const CLOSED: u8 = b'c';
 /// Whoever is at the name hands the socket over at once, or there is nobody.
 const PATIENCE: Duration = Duration::from_secs(1);
-/// Connections that may wait to be accepted.
-pub const BACKLOG: u32 = 1024;
 /// Wait before looking for a successor again after a failure.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -51,19 +49,6 @@
     Serving,
 }
 
-/// A listening socket of this process's own. Others may listen there too: where a takeover fails, the new process
-/// serves all the same.
-pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.set_reuseaddr(true)?;
-    socket.set_reuseport(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
-
 /// Where a socket for this address is offered: in the node's own folder, or nowhere.
 pub fn name(address: SocketAddr) -> Option<PathBuf> {
     let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty())?;
--- a/crates/node/src/takeover/tests.rs
+++ b/crates/node/src/takeover/tests.rs
@@ -1,8 +1,10 @@
 //! The socket that is handed over, what else may stand at its name, and who is told of what.
 
-use super::*;
 use std::os::unix::fs::symlink;
 
+use super::*;
+use crate::port::bind;
+
 struct Folder(PathBuf);
 
 impl Folder {
@@ -32,7 +34,7 @@
 async fn what_waits_in_the_queue_outlives_the_process_that_listened() {
     let folder = Folder::new("queue");
     let path = folder.0.join("door");
-    let socket = Rc::new(bind("127.0.0.1:0".parse().unwrap()).unwrap());
+    let socket = Rc::new(bind("127.0.0.1:0".parse().unwrap(), true).unwrap());
     let address = socket.local_addr().unwrap();
     let (offer, mut told) = offer(&path, &socket);
     let claims = async {
@@ -81,11 +83,11 @@
     let folder = Folder::new("hostile");
     let path = folder.0.join("door");
     let door = UnixListener::bind(&path).unwrap();
-    let other = bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let other = bind("127.0.0.1:0".parse().unwrap(), true).unwrap();
     let address = other.local_addr().unwrap();
     let connected = std::net::TcpStream::connect(address).unwrap();
     let file = std::fs::File::open("/dev/null").unwrap();
-    let elsewhere = bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let elsewhere = bind("127.0.0.1:0".parse().unwrap(), true).unwrap();
     for socket in [None, Some(connected.as_fd()), Some(file.as_fd()), Some(elsewhere.as_fd())] {
         let (claimed, ()) = tokio::join!(claim(&path, address), async {
             let (mut stream, _) = door.accept().await.unwrap();
--- a/crates/node/tests/node/configuration.rs
+++ b/crates/node/tests/node/configuration.rs
@@ -34,6 +34,7 @@
         ("\"seed\":\"8c1f30d27a5be964\",", "", "seed"),
         ("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"here\"", "listen: "),
         ("\"operator\":\"127.0.0.1:0\"", "\"operator\":7", "operator: "),
+        ("\"operator\":\"127.0.0.1:0\"", "\"operator\":\"192.0.2.1:1\"", "operator 192.0.2.1:1"),
         ("\"sockets\":1024", "\"sockets\":8", "limits.sockets: "),
         ("\"memory_mb\":192", "\"memory_mb\":0", "limits.memory_mb: "),
         ("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"192.0.2.1:0\"", "listen 192.0.2.1:0"),
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -9,6 +9,7 @@
 mod operators;
 mod outage;
 mod outcomes;
+mod port;
 mod requests;
 #[path = "../rig/mod.rs"]
 mod rig;
