Name the file of what is wrong in it, and refuse settings that leave a node nothing to do

Of a fault in the settings, the seed or the known list the line named the field but not the file, and of the seed not what was expected. A configuration without limits.dial-timeout-s started, and its node gave up each connection at once, as the figure counted as 0; so did one with max-attempts 0, or with two classes or tenants of one name. Config::wrong names the file, and config.rs refuses these before anything listens, with exit code 2. tests/log.rs leaves the figure out no longer: what it tests is the log.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -3,6 +3,7 @@
 #[cfg(test)]
 mod tests;
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -33,6 +34,9 @@
     #[serde(default)]
     pub peers: Value,
     pub settings: Value,
+    /// The file, for what is said of it.
+    #[serde(skip)]
+    named: String,
 }
 
 #[derive(Deserialize)]
@@ -75,7 +79,18 @@
     pub fn read(path: &Path) -> Result<Self, Wrong> {
         let named = format!("configuration {}", path.display());
         let text = std::fs::read(path).map_err(wrong(&named))?;
-        Self::parse(&text).map_err(wrong(&named))
+        let config = Self::parse(&text).map_err(wrong(&named))?;
+        Ok(Config { named, ..config })
+    }
+
+    /// Names the file and the field of what is wrong.
+    pub fn wrong<'a, E: std::fmt::Display>(&'a self, field: &'a str) -> impl FnOnce(E) -> Wrong + 'a {
+        move |error| Wrong(format!("{}: {field}: {error}", self.named))
+    }
+
+    /// A time of the settings, which may be longer than any clock can tell.
+    pub fn seconds(&self, name: &str, value: f64) -> Result<Duration, Wrong> {
+        Duration::try_from_secs_f64(value).map_err(self.wrong(&format!("settings: {name}")))
     }
 
     fn parse(text: &[u8]) -> Result<Self, String> {
@@ -92,13 +107,15 @@
     }
 
     pub fn settings(&self) -> Result<Settings, Wrong> {
-        let settings = Settings::from_json(&self.settings).map_err(wrong("settings"))?;
-        settings.validate().map_err(wrong("settings"))?;
+        let settings = Settings::from_json(&self.settings).map_err(self.wrong("settings"))?;
+        settings.validate().map_err(self.wrong("settings"))?;
+        usable(&settings).map_err(self.wrong("settings"))?;
         Ok(settings)
     }
 
     pub fn seed(&self) -> Result<u64, Wrong> {
-        u64::from_str_radix(&self.seed, 16).map_err(wrong("seed"))
+        let wrong = |_| format!("up to 16 hexadecimal digits expected, got {:?}", self.seed);
+        u64::from_str_radix(&self.seed, 16).map_err(wrong).map_err(self.wrong("seed"))
     }
 
     /// Where operators call: as the file has it, or else as `RELAY_OPERATOR` has it.
@@ -113,17 +130,37 @@
 
     /// For how long cache servers keep an idle connection, which only the node needs of the settings.
     pub fn idle_close(&self) -> Result<Duration, Wrong> {
+        const NAME: &str = "limits.idle-close-s";
+        let number = |value: &Value| value.as_f64().ok_or_else(|| format!("a number expected, got {value}"));
         let seconds = match &self.settings["limits"]["idle-close-s"] {
             Value::Null => 60.0,
-            value => value
-                .as_f64()
-                .ok_or_else(|| Wrong("settings: setting limits.idle-close-s: a number expected".into()))?,
+            value => number(value).map_err(self.wrong(&format!("settings: setting {NAME}")))?,
         };
-        self::seconds("limits.idle-close-s", seconds)
+        self.seconds(NAME, seconds)
+    }
+}
+
+/// Finds what makes sense on its own but leaves a real node nothing that it could do.
+fn usable(settings: &Settings) -> Result<(), String> {
+    let limits = &settings.limits;
+    if limits.connect_timeout <= 0.0 {
+        let got = limits.connect_timeout;
+        return Err(format!("setting limits.dial-timeout-s: a time above 0 expected, got {got}"));
+    }
+    if limits.max_attempts == 0 {
+        return Err("setting limits.max-attempts: at least 1 expected, got 0".into());
     }
+    once("grades", settings.classes.iter().map(|class| &*class.name))?;
+    once("tenants", settings.tenants.iter().map(|tenant| &*tenant.name))
 }
 
-/// A time of the settings, which may be longer than any clock can tell.
-pub fn seconds(name: &str, value: f64) -> Result<Duration, Wrong> {
-    Duration::try_from_secs_f64(value).map_err(wrong(&format!("settings: setting {name}")))
+/// Of two of one name only one could be meant.
+fn once<'a>(list: &str, names: impl Iterator<Item = &'a str>) -> Result<(), String> {
+    let mut seen = HashSet::new();
+    for name in names {
+        if !seen.insert(name) {
+            return Err(format!("setting {list}.name: each once expected, got {name:?} twice"));
+        }
+    }
+    Ok(())
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -37,7 +37,7 @@
 
 use budget::Budget;
 use clock::Clock;
-use config::{seconds, wrong, Config, Wrong};
+use config::{wrong, Config, Wrong};
 use discovery::Discovery;
 use driver::{Around, Driver};
 use figures::Figures;
@@ -67,15 +67,15 @@
     let setup = options.fleet.as_deref().map(|file| Setup::read(file, &config)).transpose()?;
     let clock = Clock::start();
     let longest = settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
-    let times = Stop::of(seconds("hard-limit-s", longest)?);
+    let times = Stop::of(config.seconds("hard-limit-s", longest)?);
 
     let lifecycle = Lifecycle::new();
     let figures = Figures::new(settings.classes.iter().map(|class| class.name.as_str()));
     let budget = Budget::new(&config.limits.allowed());
     let bounds = Bounds {
-        dial: seconds("limits.dial-timeout-s", settings.limits.connect_timeout)?,
+        dial: config.seconds("limits.dial-timeout-s", settings.limits.connect_timeout)?,
         idle: config.idle_close()?,
-        grace: seconds("guarantees.drain-grace-s", settings.guarantees.drain_grace)?,
+        grace: config.seconds("guarantees.drain-grace-s", settings.guarantees.drain_grace)?,
     };
     let upstream = Rc::new(Upstream::new(bounds, budget.clone(), figures.clone()));
     let (messages, inbox) = mpsc::unbounded_channel();
@@ -94,9 +94,9 @@
         figures: figures.clone(),
         fleet: fleet.clone(),
     };
-    let mut driver = Driver::new(&settings, seed, around).map_err(wrong("settings"))?;
+    let mut driver = Driver::new(&settings, seed, around).map_err(config.wrong("settings"))?;
     if let Some(known) = &config.known {
-        driver.known(Roster::from_json(known.get().as_bytes(), &clock).map_err(wrong("known"))?);
+        driver.known(Roster::from_json(known.get().as_bytes(), &clock).map_err(config.wrong("known"))?);
     }
     let frontend = Frontend::new(messages.clone(), upstream.clone(), lifecycle.clone(), budget.clone());
     // First the one that takes nobody's requests: what is wrong with it is found before clients come.
--- a/crates/node/tests/log.rs
+++ b/crates/node/tests/log.rs
@@ -22,7 +22,7 @@
     let nowhere = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     let config = std::env::temp_dir().join(format!("hallpin-log-{}-{name}.json", std::process::id()));
     let settings = r#"{"balancers":1,"grades":[{"name":"read","hard-limit-s":1.0}],"membership-mode":"pushed",
-        "limits":{"max-attempts":3},"guarantees":{"grace-to-answer-s":0.02,"ask-every-s":10,"cold-from":0.12,
+        "limits":{"max-attempts":3,"dial-timeout-s":0.2},"guarantees":{"grace-to-answer-s":0.02,"ask-every-s":10,"cold-from":0.12,
         "ramp-time-s":23,"drain-grace-s":1,"fall-multiple":3,"fall-s":3}}"#;
     let text = format!(
         r#"{{"listen":"127.0.0.1:0","operator":"127.0.0.1:0","discovery":"{nowhere}","seed":"1","settings":{settings}}}"#
