Judge sends for clients gone, calls that fail, and how soon restarted nodes are ready

Rule `gone`. - After a failed, refused or given-up call what discovery had counts 6 s after that, also where a silent call might have waited for longer. Event `call-failed`; it ends with `watch-opened`. - Nine in ten restarted nodes are ready within 10 s. Event `node-ready`, which sockets record once a node wants clients; a history without it is not judged by this. Rule `ready`.

--- a/crates/fleet/src/sockets/node.rs
+++ b/crates/fleet/src/sockets/node.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hallpin_model::day::NodeId;
+use hallpin_model::trace::Event;
 use rustix::process::Signal;
 use serde_json::json;
 use tokio::process::Child;
@@ -90,6 +91,7 @@
             starts += 1;
             stage.borrow_mut().node_started(self.node);
             self.ready(&mut running.child).await?;
+            stage.borrow_mut().record(Event::NodeReady { node: self.node });
             stage.borrow_mut().nodes_up[self.node] = true;
             // Nobody waits where the day has not begun for another reason.
             let _ = up.take().map(|up| up.send(()));
--- a/crates/lab/src/table.rs
+++ b/crates/lab/src/table.rs
@@ -28,6 +28,8 @@
         Rule::Drain => "drains honoured",
         Rule::Cold => "cold boxes and planner",
         Rule::Waited => "answered when given up",
+        Rule::Gone => "nothing for clients gone",
+        Rule::Ready => "restarted nodes ready",
     }
 }
 
@@ -84,7 +86,7 @@
 
 /// Whether the rules were kept, and the first breaches in words.
 pub fn rules(verdict: &Verdict) -> String {
-    let all = [Rule::Lost, Rule::Repeated, Rule::Drain, Rule::Cold, Rule::Waited];
+    let all = [Rule::Lost, Rule::Repeated, Rule::Drain, Rule::Cold, Rule::Waited, Rule::Gone, Rule::Ready];
     let kept = |r: &Rule| match verdict.breaches.get(r) {
         None => format!("{}: kept", rule(*r)),
         Some(times) => format!("{}: BROKEN {times} times", rule(*r)),
--- a/crates/model/src/referee/lost.rs
+++ b/crates/model/src/referee/lost.rs
@@ -116,6 +116,7 @@
         if let Some(ask) = self.asks.get_mut(&taken.ask) {
             ask.last = Loss::NoAnswer;
         }
+        self.left.leaves(at, id);
         // One who leaves before the time is owed nothing; one whose time is up still is, for the grace.
         if at < taken.until {
             self.finish(id);
@@ -146,6 +147,7 @@
             }
         }
         self.clocks.ended(node);
+        self.restarts.ended(at, node);
         self.told.retain(|(n, _), _| *n != node);
         self.out.retain(|(n, _), _| *n != node);
     }
--- a/crates/model/src/referee/mod.rs
+++ b/crates/model/src/referee/mod.rs
@@ -5,11 +5,13 @@
 
 mod cold;
 mod drains;
+mod gone;
 mod kept_waiting;
 mod lost;
 mod planner;
 mod prices;
 mod repeats;
+mod restarts;
 mod terms;
 mod told;
 mod verdict;
@@ -17,7 +19,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::day::{Day, Effect, NodeId};
 use crate::list::{BoxId, Phase};
@@ -26,9 +28,11 @@
 use crate::trace::{AskId, Ended, Event, How, Sink, TryId};
 use cold::{warmth, Cold};
 use drains::Known;
+use gone::Left;
 use lost::{Sent, Taken};
 use planner::Calls;
 use prices::Tallies;
+use restarts::Restarts;
 use terms::Terms;
 use told::{Clocks, News};
 pub use verdict::{latencies, Breach, ClassVerdict, Loss, Rule, Second, Verdict, Worth};
@@ -53,6 +57,8 @@
     stopping: FxHashMap<NodeId, Time>,
     /// Requests whose new connection was closed with no answer.
     dropped: u64,
+    left: Left,
+    restarts: Restarts,
     sizes: Vec<Option<f64>>,
     cold: BTreeMap<BoxId, Cold>,
 
@@ -81,6 +87,8 @@
             clocks: Clocks::default(),
             stopping: FxHashMap::default(),
             dropped: 0,
+            left: Left::default(),
+            restarts: Restarts::default(),
             sizes: vec![None; day.boxes.len()],
             cold: BTreeMap::new(),
             planner: Calls::default(),
@@ -176,6 +184,10 @@
                 self.counts_as_told(at);
             }
             Event::WatchSilent { node, waits } => self.clocks.silent(at, node, waits),
+            Event::CallFailed { node } => {
+                self.clocks.failed(node);
+                self.counts_as_told(at);
+            }
             Event::WatchOpened { node } => self.clocks.opened(node),
             Event::Reconfigured { node } => self.clocks.hup(at, node),
             Event::Stopping { node } => {
@@ -199,7 +211,9 @@
                 self.over(at);
                 self.result(at);
             }
-            Event::NodeUp { .. } | Event::PlannerStopped { .. } | Event::PlannerResumed => {}
+            Event::NodeUp { node } => self.restarts.up(at, node),
+            Event::NodeReady { node } => self.restarts.ready(at, node),
+            Event::PlannerStopped { .. } | Event::PlannerResumed => {}
         }
     }
 }
--- a/crates/model/src/referee/terms.rs
+++ b/crates/model/src/referee/terms.rs
@@ -20,6 +20,7 @@
     /// Mean work of a request, in microseconds of a standard core.
     pub mean_work: f64,
     pub planner_for: Span,
+    pub crossing: Span,
     pub unseen: Span,
     pub most_attempts: u32,
     pub second_copies: bool,
@@ -41,6 +42,7 @@
             fall_for: day.rules.fall_for,
             mean_work: day.mean_work().0 as f64,
             planner_for: day.rules.planner_for,
+            crossing: day.rules.crossing,
             unseen: day.rules.unseen,
             most_attempts: day.limits.max_attempts,
             second_copies: day.limits.second_copies,
--- a/crates/model/src/referee/told.rs
+++ b/crates/model/src/referee/told.rs
@@ -5,6 +5,9 @@
 //! silent is broken, however the list comes: what it misses counts 6 s after it fell silent, or 2 s after the wait of its
 //! call is over if that is later. After SIGHUP everything counts 4 s later at the soonest. What has arrived counts at
 //! once.
+//!
+//! Once a call has failed, was refused or was given up, and until the watch is opened anew, everything counts 6 s after
+//! discovery had it and could be reached, or sooner: before the longer time of a silent call.
 
 use super::*;
 
@@ -29,7 +32,10 @@
     silent: FxHashMap<NodeId, Time>,
     /// When what is told after a SIGHUP counts.
     hup: FxHashMap<NodeId, Time>,
-    pending: BTreeMap<(NodeId, BoxId), (Time, News)>,
+    /// Nodes whose last call has failed.
+    failed: FxHashSet<NodeId>,
+    /// When it counts, the latest that it may if a call fails, and what it says.
+    pending: BTreeMap<(NodeId, BoxId), (Time, Time, News)>,
     due: BTreeSet<(Time, NodeId, BoxId)>,
 }
 
@@ -41,6 +47,19 @@
 
     pub fn opened(&mut self, node: NodeId) {
         self.silent.remove(&node);
+        self.failed.remove(&node);
+    }
+
+    /// A call has failed: what is there to be told counts no later than that allows.
+    pub fn failed(&mut self, node: NodeId) {
+        self.failed.insert(node);
+        let late =
+            self.pending.range_mut((node, 0)..=(node, BoxId::MAX)).filter(|(_, (at, latest, _))| at > latest);
+        for ((node, of), (at, latest, _)) in late {
+            self.due.remove(&(*at, *node, *of));
+            self.due.insert((*latest, *node, *of));
+            *at = *latest;
+        }
     }
 
     pub fn hup(&mut self, at: Time, node: NodeId) {
@@ -52,26 +71,32 @@
         let usual = if asked { at + LATEST } else { at };
         let silent = self.silent.get(&node).copied().unwrap_or(at);
         let hup = self.hup.get(&node).copied().unwrap_or(at);
-        let counts = usual.max(silent).max(hup);
+        let latest = at + LATEST;
+        let longest = usual.max(silent).max(hup);
+        let counts = if self.failed.contains(&node) { longest.min(latest) } else { longest };
         // An earlier word that has not counted is overtaken; but what closes a box counts from the first such word on.
         let closes = |news: &News| news.phase != Phase::Ready;
-        let before = self.arrived(node, of).filter(|(_, old)| closes(old) && closes(&news));
-        let counts = before.map_or(counts, |(first, _)| first);
-        self.pending.insert((node, of), (counts, news));
+        let before = self.taken(node, of).filter(|(.., old)| closes(old) && closes(&news));
+        let (counts, latest) = before.map_or((counts, latest), |(first, latest, _)| (first, latest));
+        self.pending.insert((node, of), (counts, latest, news));
         self.due.insert((counts, node, of));
     }
 
     /// A node is told of a box: what it was to have been told before that is overtaken.
-    pub fn arrived(&mut self, node: NodeId, of: BoxId) -> Option<(Time, News)> {
-        let (at, news) = self.pending.remove(&(node, of))?;
+    pub fn arrived(&mut self, node: NodeId, of: BoxId) {
+        self.taken(node, of);
+    }
+
+    fn taken(&mut self, node: NodeId, of: BoxId) -> Option<(Time, Time, News)> {
+        let (at, latest, news) = self.pending.remove(&(node, of))?;
         self.due.remove(&(at, node, of));
-        Some((at, news))
+        Some((at, latest, news))
     }
 
     /// The next word that counts by now.
     pub fn counted(&mut self, now: Time) -> Option<(Time, NodeId, BoxId, News)> {
         let (at, node, of) = self.due.first().copied().filter(|(at, ..)| *at <= now)?;
-        let (_, news) = self.arrived(node, of)?;
+        let (.., news) = self.taken(node, of)?;
         Some((at, node, of, news))
     }
 
--- a/crates/model/src/referee/verdict.rs
+++ b/crates/model/src/referee/verdict.rs
@@ -8,7 +8,7 @@
 use crate::day::{Day, Effect};
 use crate::time::Time;
 
-/// The four rules, and the operators' term on what is given up.
+/// The four rules, and the operators' terms on what is given up, on clients that have left, and on restarts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Rule {
@@ -22,6 +22,10 @@
     Cold,
     /// What is given up is answered at once, and a refusal says when to come back.
     Waited,
+    /// Nothing is begun for a client that has left.
+    Gone,
+    /// Restarted nodes are ready in time.
+    Ready,
 }
 
 /// A rule was broken.
--- a/crates/model/src/referee/worth.rs
+++ b/crates/model/src/referee/worth.rs
@@ -109,6 +109,7 @@
     pub(super) fn over(&mut self, at: Time) {
         self.overdue(Time(u64::MAX));
         self.dropped_in_all(at);
+        self.restarts_in_all(at);
         let mut open: Vec<AskId> = self.asks.keys().copied().collect();
         open.sort_unstable();
         for id in open {
--- a/crates/model/tests/referee/main.rs
+++ b/crates/model/tests/referee/main.rs
@@ -2,6 +2,8 @@
 
 mod cold;
 mod events;
+mod gone;
+mod restarts;
 mod rules;
 mod stops;
 mod told;
--- a/crates/model/tests/referee/told.rs
+++ b/crates/model/tests/referee/told.rs
@@ -96,3 +96,26 @@
     keeps("its watch is silent", pushed(14_999));
     breaks("6 s after it fell silent", Rule::Cold, pushed(15_000));
 }
+
+#[test]
+fn once_a_call_has_failed_what_is_there_counts_6_s_later_before_all_longer_times() {
+    let failed = |at| vec![(at, Event::CallFailed { node: 0 })];
+    // A silent call that may wait for long would give 13 s.
+    let waits = vec![(1000, silent(Some(10_000))), (1500, has(Phase::Draining, true))];
+    counts("given up while it was silent", 7500, with(waits.clone(), failed(1600)));
+    counts("its wait stands while it is out", 13_000, waits);
+    let refused = with(failed(1000), vec![(1100, silent(Some(10_000))), (1500, has(Phase::Draining, true))]);
+    counts("refused before there was anything to tell", 7500, refused);
+    // Once discovery can be reached again, what it has is recorded as there, and what comes first counts on.
+    let down = vec![(1500, has(Phase::Draining, true)), (5000, has(Phase::Gone, true))];
+    counts("the first word of a closing counts", 7500, with(failed(1000), down));
+    let opened = vec![
+        (1000, Event::CallFailed { node: 0 }),
+        (2000, Event::WatchOpened { node: 0 }),
+        (2100, silent(Some(10_000))),
+        (2500, has(Phase::Draining, true)),
+    ];
+    counts("a watch that was opened since has its own time", 14_100, opened);
+    let pushed = with(failed(1000), vec![(2000, has(Phase::Draining, false))]);
+    counts("what is pushed counts at once all the same", 2000, pushed);
+}
