Ask a failing discovery within what counts as told, however its calls fail

Cause: after a failed or given-up call a change counts as told 6 s after discovery could be reached. A call that hung at an asked discovery took 1 s of connecting and 2.5 s of patience, the balancer then waited up to 2.4 s, and the next call took its own time: 5.9 s before the answer was even asked for, 6.9 s with a slow connect. A silent watch was given up 1.2 s after its wait, which with the balancer's wait left 0.5 s for an answer that may take one. The first watch after a failure waited for 20 s and hid what the 6 s count. None of it followed from the settings (time to ask). Lines at fault: ASKED in discovery/manner.rs, REASK and its third doubling in balance/roster.rs.

Change: the whole list has one time from dialling to its end, 11/30 of what counts as told (6 s, or four times guarantees.ask-every-s where that is less): 2.2 s. A connection's first watch waits half of it, 3 s, later ones 20 s; a watch may be a tenth late, 0.6 s. The balancer's wait ends at 1.2 s (2.4 s before) and shrinks with the time to ask; it stays jittered. Discovery::new takes the settings (one word in lib.rs).

Moved by SIGHUP in each state of the old address: within 4 s. What it costs: one more call without news a connection, and in an outage calls 0.8 s apart on average (1.6 s before).

--- a/crates/decisions/src/balance/roster.rs
+++ b/crates/decisions/src/balance/roster.rs
@@ -4,9 +4,6 @@
 
 use super::state::*;
 
-/// First wait, about, before a failed call for the list is made again; doubled three times at most.
-const REASK: Seconds = 0.2;
-
 impl Node {
     pub fn follow_roster(&mut self) {
         // A call that is never answered is taken as failed before the time to ask has run out.
@@ -21,8 +18,10 @@
     pub fn on_roster(&mut self, news: RosterNews) {
         let (whole, answered, entries) = match news {
             RosterNews::Failed => {
-                // Calls that failed together must not come again together.
-                let wait = REASK * f64::from(2u32 << self.failed_asks.min(3)) * (0.25 + 0.5 * self.random());
+                // Calls that failed together must not come again together; yet a call that hangs, this wait and
+                // a call that succeeds fit into 6 s, or four times the time to ask if that is less.
+                let first = (0.13 * self.settings.guarantees.ask_every).clamp(0.1, 0.2);
+                let wait = first * f64::from(2u32 << self.failed_asks.min(2)) * (0.25 + 0.5 * self.random());
                 (self.subscribed, self.asked, self.next_ask) = (false, None, self.now + wait);
                 self.failed_asks += 1;
                 return;
--- a/crates/node/src/discovery/manner.rs
+++ b/crates/node/src/discovery/manner.rs
@@ -1,17 +1,20 @@
-//! How long calls to discovery wait, by how the list arrives: what a silent call missed counts as told after a time.
+//! How long calls to discovery wait. What a call that hangs or fails missed counts as told after a time that the
+//! settings name: whatever a call waits for, the next one has to have brought the list by then.
 
 use std::time::Duration;
 
-use hallpin_decisions::Membership;
+use hallpin_decisions::{Membership, Settings};
+
+const SECOND: Duration = Duration::from_secs(1);
 
 /// How calls are made.
+#[derive(Clone, Copy, Debug)]
 pub(super) struct Manner {
-    /// Connecting ends after this.
-    pub dial: Duration,
-    /// How long a watch waits for news.
+    /// From dialling to the end of the whole list: one time for both, as what comes after is as late whichever hung.
+    pub whole: Duration,
+    /// How long a connection's first watch waits for news, and how long each later one.
+    pub first_wait: Duration,
     pub wait: Duration,
-    /// From asking for the whole list to the end of the answer.
-    pub patience: Duration,
     /// How much later than its wait a watch's answer may end.
     pub late: Duration,
     /// The first and longest wait before calling again after a failure.
@@ -19,34 +22,45 @@
     pub max_backoff: Duration,
 }
 
-/// A pushed list comes from an agent on this machine at no cost, and what the agent has counts as told, also while a
-/// watch is silent and right after an outage: whatever a call is waiting for, the next one has brought the list within
-/// the second that a drain leaves.
-const PUSHED: Manner = Manner {
-    dial: Duration::from_millis(300),
-    wait: Duration::from_millis(400),
-    patience: Duration::from_millis(400),
-    late: Duration::from_millis(400),
-    backoff: Duration::from_millis(50),
-    max_backoff: Duration::from_millis(100),
-};
+impl Manner {
+    pub(super) fn of(settings: &Settings) -> Self {
+        let guarantees = &settings.guarantees;
+        match settings.membership {
+            Membership::Pushed => Self::pushed(),
+            Membership::OnRequest => Self::asked(guarantees.ask_every),
+        }
+    }
 
-/// Where discovery is asked, each call takes part of a service that all nodes share; the balancer says when to call
-/// again. What a silent watch missed counts as told 2 s after its wait: a call after it has the rest of that time.
-const ASKED: Manner = Manner {
-    dial: Duration::from_secs(1),
-    wait: Duration::from_secs(20),
-    patience: Duration::from_millis(2500),
-    late: Duration::from_millis(1200),
-    backoff: Duration::ZERO,
-    max_backoff: Duration::ZERO,
-};
+    /// A pushed list comes from an agent on this machine at no cost, and what the agent has counts as told, also while a
+    /// watch is silent and right after an outage: whatever a call is waiting for, the next one has brought the list
+    /// within the second that a drain leaves.
+    fn pushed() -> Self {
+        let ms = Duration::from_millis;
+        Manner {
+            whole: ms(700),
+            first_wait: ms(400),
+            wait: ms(400),
+            late: ms(400),
+            backoff: ms(50),
+            max_backoff: ms(100),
+        }
+    }
 
-impl Manner {
-    pub(super) fn of(membership: Membership) -> &'static Manner {
-        match membership {
-            Membership::Pushed => &PUSHED,
-            Membership::OnRequest => &ASKED,
+    /// Where discovery is asked, each call takes part of a service that all nodes share; the balancer says when to call
+    /// again. After a failed call a change counts as told 6 s after discovery could be reached, or four times the time
+    /// to ask if that is less: a call that hangs, the balancer's wait and a call that succeeds fit into it. What a
+    /// silent watch missed counts 2 s after its wait, or after those 6 s: the call after it has the rest of that time.
+    /// The first watch after a call that may have followed a failure waits within the 6 s itself.
+    fn asked(ask_every: f64) -> Self {
+        // Discovery may take a second for an answer.
+        let told = Duration::from_secs_f64((4.0 * ask_every).clamp(3.0, 6.0));
+        Manner {
+            whole: told * 11 / 30,
+            first_wait: told / 2,
+            wait: 20 * SECOND,
+            late: told / 10,
+            backoff: Duration::ZERO,
+            max_backoff: Duration::ZERO,
         }
     }
 }
--- a/crates/node/src/discovery/mod.rs
+++ b/crates/node/src/discovery/mod.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hallpin_decisions::{Membership, ServerId, ServerState};
+use hallpin_decisions::{Membership, ServerId, ServerState, Settings};
 use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -38,6 +38,7 @@
     /// Where discovery is; it may move while the node runs.
     address: watch::Receiver<SocketAddr>,
     membership: Membership,
+    manner: Manner,
     clock: Clock,
     news: UnboundedSender<Message>,
     /// What calls fail with now; empty while they succeed. Said once, not with each call.
@@ -56,16 +57,21 @@
     }
 }
 
+fn silent(_: tokio::time::error::Elapsed) -> Failure {
+    "no answer in time".into()
+}
+
 impl Discovery {
     pub fn new(
         address: watch::Receiver<SocketAddr>,
-        membership: Membership,
+        settings: &Settings,
         clock: Clock,
         news: UnboundedSender<Message>,
     ) -> Self {
         Discovery {
             address,
-            membership,
+            membership: settings.membership,
+            manner: Manner::of(settings),
             clock,
             news,
             trouble: RefCell::default(),
@@ -94,7 +100,7 @@
     /// Follows the list at one address, until nobody asks any more.
     async fn keep_following(&self, address: SocketAddr, mut at_once: bool, calls: &mut Receiver<()>) {
         let asked = self.membership == Membership::OnRequest;
-        let manner = Manner::of(self.membership);
+        let manner = self.manner;
         let mut backoff = manner.backoff;
         loop {
             if !at_once && calls.recv().await.is_none() {
@@ -119,44 +125,50 @@
 
     /// Follows the list on one connection until that fails.
     async fn follow(&self, address: SocketAddr) -> Result<Infallible, Failure> {
-        let Manner { dial, wait, patience, late, .. } = *Manner::of(self.membership);
-        let stream = timeout(dial, TcpStream::connect(address)).await??;
-        stream.set_nodelay(true)?;
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-        // Ends with the sender, and its faults come out of the sender's calls.
-        let connection = tokio::task::spawn_local(connection);
-        let _guard = AbortOnDrop(connection.abort_handle());
-        let mut revision = self.call(&mut sender, "/discovery/hosts", patience, None).await?;
+        let Manner { whole, first_wait, wait: later, late, .. } = self.manner;
+        let (mut sender, _connection, mut revision) =
+            timeout(whole, self.open(address)).await.map_err(silent)??;
+        let mut wait = first_wait;
         loop {
             let asked = Instant::now();
             let path = format!("/discovery/hosts?index={revision}&wait={}", wait.as_millis());
-            revision = self.call(&mut sender, &path, wait + late, Some(revision)).await?;
+            let news = self.call(&mut sender, &path, Some(revision));
+            revision = timeout(wait + late, news).await.map_err(silent)??;
+            wait = later;
             // A peer that answers at once whether it has news or not must not be asked without pause.
             sleep(PACE.saturating_sub(asked.elapsed())).await;
         }
     }
 
+    /// Connects and reads the whole list; the list's revision comes with it.
+    async fn open(
+        &self,
+        address: SocketAddr,
+    ) -> Result<(SendRequest<Empty<Bytes>>, AbortOnDrop, u64), Failure> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        // Ends with the sender, and its faults come out of the sender's calls.
+        let connection = AbortOnDrop(tokio::task::spawn_local(connection).abort_handle());
+        let revision = self.call(&mut sender, "/discovery/hosts", None).await?;
+        Ok((sender, connection, revision))
+    }
+
     /// One call, for the whole list or for what came after a revision; hands on what it brought and returns the list's
     /// revision. Of an answer that is no good nothing is handed on.
     async fn call(
         &self,
         sender: &mut SendRequest<Empty<Bytes>>,
         path: &str,
-        patience: Duration,
         after: Option<u64>,
     ) -> Result<u64, Failure> {
         let request = hyper::Request::get(path)
             .header(hyper::header::HOST, self.address.borrow().to_string())
             .body(Empty::new())?;
-        let answer = async {
-            sender.ready().await?;
-            let response = sender.send_request(request).await?;
-            let status = response.status();
-            let body =
-                Limited::new(response.into_body(), MAX_BODY).collect().await.map_err(too_long)?.to_bytes();
-            Ok::<_, Failure>((status, body))
-        };
-        let (status, body) = timeout(patience, answer).await.map_err(|_| "no answer in time")??;
+        sender.ready().await?;
+        let response = sender.send_request(request).await?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), MAX_BODY).collect().await.map_err(too_long)?.to_bytes();
         if !status.is_success() {
             return Err(format!("status {}", status.as_u16()).into());
         }
--- a/crates/node/src/discovery/tests/lists.rs
+++ b/crates/node/src/discovery/tests/lists.rs
@@ -4,7 +4,7 @@
 use tokio::sync::mpsc::unbounded_channel;
 
 use super::super::*;
-use super::{list, member, serve};
+use super::{list, member, pushed, serve};
 
 /// What a discovery that answers so comes to: why it was left, and the servers of each list handed on.
 fn followed(answers: Vec<String>) -> (String, Vec<usize>) {
@@ -14,7 +14,7 @@
         let address = listener.local_addr().expect("an address");
         let (news, mut told) = unbounded_channel();
         let (_moves, at) = watch::channel(address);
-        let discovery = Discovery::new(at, Membership::Pushed, Clock::start(), news);
+        let discovery = Discovery::new(at, &pushed(1.0), Clock::start(), news);
         let (ended, ()) = tokio::join!(discovery.follow(address), serve(listener, answers));
         let Err(failure) = ended;
         let mut sizes = Vec::new();
--- /dev/null
+++ b/crates/node/src/discovery/tests/moves.rs
@@ -0,0 +1,88 @@
+//! SIGHUP moves discovery while a call hangs, fails or waits its turn: the new address is asked at once.
+
+use tokio::task::LocalSet;
+
+use super::*;
+
+/// What the old address does when discovery moves.
+#[derive(Clone, Copy, Debug)]
+enum Old {
+    /// Takes the call and says nothing, or so much of its answer.
+    Silent,
+    SilentInHead,
+    SilentInBody,
+    /// Closes each call; the next one is waited for.
+    Closing,
+    /// Answers the whole list, and its watch is open.
+    Watched,
+}
+
+async fn old(listener: TcpListener, how: Old) {
+    let mut kept = Vec::new();
+    loop {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        call(&mut stream).await.expect("a call");
+        let whole = answer(&listed(1, "ready"));
+        let head = whole.find("\r\n\r\n").expect("a head");
+        let said = match how {
+            Old::Silent => "",
+            Old::SilentInHead => &whole[..head],
+            Old::SilentInBody => &whole[..whole.len() - 9],
+            Old::Closing => continue,
+            Old::Watched => &whole,
+        };
+        stream.write_all(said.as_bytes()).await.expect("an answer");
+        kept.push(stream);
+    }
+}
+
+async fn bound() -> (TcpListener, std::net::SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    (listener, address)
+}
+
+/// How long after SIGHUP the node has the list of the new address; on the way it may be told of one more that is silent.
+async fn in_hand_after(
+    how: Old,
+    settings: Settings,
+    at: Duration,
+    between: bool,
+    takes: Duration,
+) -> Duration {
+    let (first, address) = bound().await;
+    let mut node = Following::start(settings, at.as_millis() as u64, address);
+    tokio::task::spawn_local(old(first, how));
+    sleep_until(Instant::now() + at).await;
+    let (silent, nowhere) = bound().await;
+    if between {
+        node.moves.send_replace(nowhere);
+        drop(silent.accept().await.expect("it is asked there"));
+    }
+    let (listener, address) = bound().await;
+    node.moves.send_replace(address);
+    let since = Instant::now();
+    let (mut stream, _) = listener.accept().await.expect("it is asked at the new address");
+    call(&mut stream).await.expect("the whole list is asked for");
+    sleep_until(Instant::now() + takes).await;
+    stream.write_all(answer(&listed(1, "draining")).as_bytes()).await.expect("an answer");
+    node.until_draining().await;
+    since.elapsed()
+}
+
+/// What discovery has to tell counts as told 4 s after SIGHUP; where the agent is asked, it need not take as long.
+#[tokio::test(start_paused = true)]
+async fn the_list_of_a_new_address_is_in_hand_in_time_whatever_the_old_one_does() {
+    for how in [Old::Silent, Old::SilentInHead, Old::SilentInBody, Old::Closing, Old::Watched] {
+        for (settings, takes, by) in
+            [(asked(10.0), SECOND, 4 * SECOND), (pushed(0.5), Duration::ZERO, SECOND / 2)]
+        {
+            for tenths in 0..30 {
+                let at = tenths * Duration::from_millis(130);
+                let moved = in_hand_after(how, settings.clone(), at, tenths % 2 == 1, takes);
+                let after = LocalSet::new().run_until(moved).await;
+                assert!(after < by, "{how:?}, moved after {at:?}: {after:?} later");
+            }
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -119,7 +119,7 @@
 
     let (moved, discovery_at) = watch::channel(config.discovery);
     tokio::task::spawn_local(reload(path, hangup, moved, fleet.clone()));
-    let discovery = Discovery::new(discovery_at, settings.membership, clock, messages);
+    let discovery = Discovery::new(discovery_at, &settings, clock, messages);
     tokio::task::spawn_local(discovery.run(called));
     let mut driver = tokio::task::spawn_local(driver.run(inbox));
     let swept = frontend.clone();
