--- a/crates/decisions/src/balance/roster.rs
+++ b/crates/decisions/src/balance/roster.rs
@@ -18,8 +18,8 @@
     pub fn on_roster(&mut self, news: RosterNews) {
         let (whole, answered, entries) = match news {
             RosterNews::Failed => {
-                // Calls that failed together must not come again together; yet a call that hangs, this wait and
-                // a call that succeeds fit into 6 s, or four times the time to ask if that is less.
+                // Calls that failed together must not come again together; yet a call that hangs, this wait
+                // and a call that succeeds fit into 6 s, or four times the time to ask if that is less.
                 let first = (0.13 * self.settings.guarantees.ask_every).clamp(0.1, 0.2);
                 let wait = first * f64::from(2u32 << self.failed_asks.min(2)) * (0.25 + 0.5 * self.random());
                 (self.subscribed, self.asked, self.next_ask) = (false, None, self.now + wait);
