Leave no call from before a move of discovery for the next failure

Cause: SIGHUP while the balancer waits to ask again makes the call at the new address itself; the balancer's own call, due a moment later, lay in the queue (keep_following in discovery/mod.rs) until the new watch failed and was then made at once. After an outage that SIGHUP ended, all nodes whose watches fail together would have come together, without the jitter that the balancer gives them. A call asked for twice because the first took longer than half the time to ask was left over likewise.

Change: a failed call is told to the balancer after what was queued before it has been taken out; it asks again in its own time, as before.

--- a/crates/node/src/discovery/mod.rs
+++ b/crates/node/src/discovery/mod.rs
@@ -117,6 +117,9 @@
                 *self.trouble.borrow_mut() = failure;
             }
             if asked {
+                // A call from before: the balancer asks again in its time. Made at once, it would come together with
+                // those of all nodes whose watch failed now.
+                while calls.try_recv().is_ok() {}
                 let _ = self.news.send(Message::RosterFailed);
             }
             sleep(backoff).await;
--- a/crates/node/src/discovery/tests/moves.rs
+++ b/crates/node/src/discovery/tests/moves.rs
@@ -86,3 +86,30 @@
         }
     }
 }
+
+/// A call that was due at the old address is made at the new one by the move itself: it must not be left over, to be
+/// made at once when the new watch fails, as it would be at all nodes together.
+#[tokio::test(start_paused = true)]
+async fn no_call_from_before_a_move_is_left_for_the_next_failure() {
+    let moved = async {
+        let (first, address) = bound().await;
+        let node = Following::start(asked(10.0), 1, address);
+        tokio::task::spawn_local(old(first, Old::Closing));
+        sleep_until(Instant::now() + 4 * SECOND).await;
+        let (listener, address) = bound().await;
+        node.moves.send_replace(address);
+        let (mut stream, _) = listener.accept().await.expect("it is asked at the new address");
+        call(&mut stream).await.expect("the whole list is asked for");
+        stream.write_all(answer(&listed(1, "ready")).as_bytes()).await.expect("an answer");
+        call(&mut stream).await.expect("a watch");
+        // The balancer's next call was due within this.
+        sleep_until(Instant::now() + 5 * SECOND / 2).await;
+        drop(stream);
+        let since = Instant::now();
+        listener.accept().await.expect("it is asked anew");
+        since.elapsed()
+    };
+    let after = LocalSet::new().run_until(moved).await;
+    // The least that the balancer waits; all nodes together would come at once.
+    assert!(after >= SECOND / 10, "asked again after {after:?}");
+}
