Test how answers of discovery may come and end, and watches that end between calls

Refuted, by tests that stay: a reset behind the whole body of an answer without a length is no list, nor is one cut off in its body, before its last chunk or before its head's end, nor a status of 503; indented, chunked and length-less answers are read, and the connection is kept where it can be. An answer of the same revision goes on with the watch; a connection closed between two calls is opened anew, and a whole list of a lower revision is taken then.

--- a/crates/node/src/discovery/tests/mod.rs
+++ b/crates/node/src/discovery/tests/mod.rs
@@ -1,5 +1,6 @@
 //! A discovery that answers as it is told, the balancer that says when it is asked again, and what is made of it.
 
+mod endings;
 mod lists;
 mod manner;
 mod moves;
