Take what discovery tells ahead of the messages that wait for the driver

Cause: lists came through the driver's one inbox, behind every request, outcome and probe that lay there (driver.rs, run). A flood of commands, or a node that was kept from running, delayed a told drain by the time that all of them take, and each of them could still be sent to the draining server; the queue is bounded by what connections may have open (64 commands each), not by the time of a drain.

Change: discovery has a channel of its own, read first, also where the node catches up after a stall. Lists and failed calls keep their order among themselves. Behind it a list waits for one turn of the other tasks at most (128 messages).

--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -59,11 +59,14 @@
         self.roster(roster, RosterNews::Cached);
     }
 
-    pub async fn run(mut self, mut inbox: UnboundedReceiver<Message>) {
+    /// Takes messages for ever. What discovery tells goes ahead of all others: it counts from when it came, and what
+    /// waits its turn would still be sent to servers that drain.
+    pub async fn run(mut self, mut inbox: UnboundedReceiver<Message>, mut lists: UnboundedReceiver<Message>) {
         loop {
             let next = self.timers.peek().map(|Reverse((at, _))| *at);
             tokio::select! {
                 biased;
+                Some(list) = lists.recv() => self.take(list),
                 message = inbox.recv() => match message {
                     Some(message) => self.take(message),
                     None => return,
@@ -76,8 +79,8 @@
                 // A node that was kept from running finds timers due and answers unread: those first, or
                 // an attempt would be given up whose answer is there.
                 tokio::task::yield_now().await;
-                for _ in 0..inbox.len() {
-                    if let Ok(message) = inbox.try_recv() {
+                for _ in 0..lists.len() + inbox.len() {
+                    if let Ok(message) = lists.try_recv().or_else(|_| inbox.try_recv()) {
                         self.take(message);
                     }
                 }
--- a/crates/node/src/driver/tests.rs
+++ b/crates/node/src/driver/tests.rs
@@ -1,5 +1,7 @@
 //! What the driver lets go out and keeps, whatever the balancer asks for.
 
+mod lists;
+
 use std::rc::Rc;
 
 use super::*;
@@ -66,14 +68,19 @@
 }
 
 fn request_of(driver: &mut Driver, id: RequestId, gone: Gone) -> oneshot::Receiver<Answer> {
-    let mut text = bytes::BytesMut::from("mg k v Oa Pc=read,d=60000\r\n");
-    let Some(Input::Command(command)) = next_input(&mut text) else { panic!("a command") };
-    let (reply, answer) = oneshot::channel();
     let _inside = tokio::task::LocalSet::new().enter();
-    driver.take(Message::Request { id, command: *command, at: Instant::now(), reply, gone });
+    let (message, answer) = asked(id, "a", gone);
+    driver.take(message);
     answer
 }
 
+fn asked(id: RequestId, opaque: &str, gone: Gone) -> (Message, oneshot::Receiver<Answer>) {
+    let mut text = bytes::BytesMut::from(&format!("mg k v O{opaque} Pc=read,d=60000\r\n")[..]);
+    let Some(Input::Command(command)) = next_input(&mut text) else { panic!("a command") };
+    let (reply, answer) = oneshot::channel();
+    (Message::Request { id, command: *command, at: Instant::now(), reply, gone }, answer)
+}
+
 /// A client that leaves while other messages wait ahead of that one is sent nothing more for, and what comes of it
 /// then is not taken at all.
 #[tokio::test]
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -119,9 +119,9 @@
 
     let (moved, discovery_at) = watch::channel(config.discovery);
     tokio::task::spawn_local(reload(path, hangup, moved, fleet.clone()));
-    let discovery = Discovery::new(discovery_at, &settings, clock, messages);
-    tokio::task::spawn_local(discovery.run(called));
-    let mut driver = tokio::task::spawn_local(driver.run(inbox));
+    let (news, lists) = mpsc::unbounded_channel();
+    tokio::task::spawn_local(Discovery::new(discovery_at, &settings, clock, news).run(called));
+    let mut driver = tokio::task::spawn_local(driver.run(inbox, lists));
     let swept = frontend.clone();
     tokio::task::spawn_local(async move {
         let mut ticks = interval(SWEEP);
