Notice a client's hanging up whatever keeps its commands waiting

Cause: `serve` read only while `reads` held and not before `paused` had passed. With 64 commands open, no memory for commands, 128 KiB of answers unread, or in the 100 ms after an error of the client's own, neither an end nor a reset was seen, and what was in hand was sent on for it. An end behind bytes that were not read was hidden as well. A request read late also counted from its reading, so up to 100 ms more were believed left to it than there were.

Change: bytes are read ahead up to the longest command there is (67,588 bytes; 2 KiB where the memory for commands is used up), counted in the budget as before, and commands wait in the buffer; each counts from the read that brought its last byte. What is held up further is asked for its end alone (the read side's closing shows without data being taken); where nothing is read a single byte is looked for, once, so that readiness that stays set does not spin. A command in the buffer during a penance is taken at once when its connection is asked to close. A command that came too slowly is told so once: with reading going on its time would have fired again at each turn.

client.rs and serve.rs are split by matter: commands in, answers out, closing, what has arrived. Counted as read by a client no longer: `came` makes room only when something was read, not at each turn.

Result: on the paused clock the client is seen gone with no time passing. Not seen still: an end that the client's own system holds back behind more than both kernels and the buffer take.

--- /dev/null
+++ b/crates/node/src/frontend/closing.rs
@@ -0,0 +1,79 @@
+//! When a client connection may end, and how: sending ends first, and what crosses with that is taken and dropped. A
+//! close over unread bytes would reset the connection, and that may overtake the last answer.
+
+use std::io;
+use std::mem::MaybeUninit;
+use std::time::Duration;
+
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
+use tokio::net::TcpStream;
+use tokio::time::{timeout, Instant};
+
+use super::client::Client;
+use super::shared::{Place, Rank};
+use crate::lifecycle::{Phase, State};
+
+/// How long and how much is read, and dropped, behind the last answer.
+pub(super) const LINGER: Duration = Duration::from_secs(1);
+pub(super) const LINGER_BYTES: usize = 1 << 20;
+
+impl Client {
+    /// When a connection between requests is closed, where clients are sent away. Until then it is used as ever; one
+    /// that is opened later has its first answer, unless nobody will be here to give it.
+    pub(super) fn parts_at(&self, phase: &Phase) -> Option<Instant> {
+        let (away, part) = (phase.sent_away()?, phase.parts()?);
+        if phase.relieved {
+            // Where another process takes the client at once, a close behind an answer crosses with no request.
+            return Some(self.answered.filter(|at| *at >= away).unwrap_or(part));
+        }
+        let newcomer = self.opened >= part && phase.state == State::Draining && self.answered.is_none();
+        (!newcomer).then_some(part)
+    }
+
+    /// Whether the part of a command that has come is given up where the connection ends: one that nobody knows has
+    /// no claim to the time.
+    pub(super) fn gives_up_part(&self) -> bool {
+        self.leaving && !self.trusted
+    }
+
+    /// Looks once for what has come just now, which the runtime may not have heard of: a command must not cross with
+    /// a close that this end chooses. Only once, or a client that sends without pause would never be rid of.
+    pub(super) fn nothing_came(&mut self) -> bool {
+        if std::mem::replace(&mut self.looked, true) {
+            return true;
+        }
+        let mut came = [0; 4096];
+        let read = self.stream.try_read(&mut came);
+        let read = read.ok().filter(|read| *read > 0);
+        read.inspect(|read| self.came_now(&came[..*read])).is_none()
+    }
+
+    /// Ends sending, and takes what the client still sends for a while. Nothing of it goes on to anyone.
+    pub(super) async fn linger(&mut self, patience: Duration) {
+        if self.stream.shutdown().await.is_err() {
+            return;
+        }
+        let frontend = self.frontend.clone();
+        let _place = Place::take(&frontend, (Rank::Closing, self.number), self.since, &self.close);
+        let drain = async {
+            let mut scrap = [0; 4096];
+            let mut left = LINGER_BYTES;
+            while left > 0 {
+                match self.stream.read(&mut scrap).await {
+                    Ok(read) if read > 0 => left = left.saturating_sub(read),
+                    _ => return,
+                }
+            }
+        };
+        tokio::select! {
+            _ = timeout(patience, drain) => {}
+            () = self.close.notified() => {}
+        }
+    }
+}
+
+/// How much there is to read, as far as one byte, without reading it.
+pub(super) fn peek(stream: &TcpStream) -> io::Result<usize> {
+    stream.try_io(Interest::READABLE, || SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]))
+}
--- a/crates/node/src/frontend/mod.rs
+++ b/crates/node/src/frontend/mod.rs
@@ -1,6 +1,10 @@
 //! Client connections: commands in, answers out in the order of the commands.
 
 mod client;
+mod closing;
+mod commands;
+mod input;
+mod output;
 mod serve;
 mod shared;
 #[cfg(test)]
@@ -17,7 +21,7 @@
 use tracing::warn;
 
 use client::Client;
-pub use serve::STALLED;
+pub use output::STALLED;
 pub use shared::Frontend;
 use shared::{Closable, Rank};
 
--- a/crates/node/src/frontend/shared.rs
+++ b/crates/node/src/frontend/shared.rs
@@ -41,6 +41,8 @@
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Rank {
+    /// About to end anyway: only what its client still sends is taken off.
+    Closing,
     /// No request of it was ever answered but with an error of the client's own.
     Doubtful,
     /// Between requests.
@@ -80,10 +82,14 @@
         self.next_number.replace(self.next_number.get() + 1)
     }
 
-    /// Asks one connection to close, if any may be. One long between requests goes first: a half-open one may be a
-    /// usual client that takes its time.
+    /// Asks one connection to close, if any may be. One that is closing goes first, then one long between requests: a
+    /// half-open one may be a usual client that takes its time.
     pub(super) fn make_room(&self) -> bool {
         let mut closable = self.closable.borrow_mut();
+        if let Some(closing) = closable.first_entry().filter(|entry| entry.key().0 == Rank::Closing) {
+            closing.remove().close.notify_one();
+            return true;
+        }
         let idlest = closable.range(IDLEST..).next().filter(|(_, c)| c.since.elapsed() >= LONG_IDLE);
         if let Some(key) = idlest.map(|(key, _)| *key) {
             return closable.remove(&key).inspect(|c| c.close.notify_one()).is_some();
--- a/crates/node/src/frontend/tests/bounds.rs
+++ b/crates/node/src/frontend/tests/bounds.rs
@@ -15,7 +15,7 @@
 use super::frontend;
 use crate::answer::Answer;
 use crate::config::{Limits, RESERVED};
-use crate::frontend::serve::{LINGER, LINGER_BYTES};
+use crate::frontend::closing::{LINGER, LINGER_BYTES};
 use crate::frontend::shared::{Place, Rank, LONG_IDLE};
 use crate::frontend::STALLED;
 use crate::message::Message;
--- /dev/null
+++ b/crates/node/src/frontend/tests/input.rs
@@ -0,0 +1,62 @@
+//! When a command came that was read ahead.
+
+use std::time::Duration;
+
+use bytes::BufMut;
+use hallpin_protocol::Input;
+use tokio::time::{advance, Instant};
+
+use crate::frontend::input::Arrived;
+
+const READ: &[u8] = b"mg k v Oa Pc=read,d=9000\r\n";
+const MS: Duration = Duration::from_millis(1);
+
+fn came(arrived: &mut Arrived, bytes: &[u8]) {
+    arrived.room(bytes.len()).put_slice(bytes);
+    arrived.came(bytes.len());
+}
+
+/// When the commands came that are whole, counted from then.
+fn taken(arrived: &mut Arrived, from: Instant) -> Vec<Duration> {
+    let next = || match arrived.take() {
+        Some((Input::Command(_), at)) => Some(at - from),
+        Some((other, _)) => panic!("{other:?}"),
+        None => None,
+    };
+    std::iter::from_fn(next).collect()
+}
+
+/// However long it waits for its turn, a command counts from the read that brought its last byte.
+#[tokio::test(start_paused = true)]
+async fn a_command_counts_from_its_last_byte() {
+    let (mut arrived, from) = (Arrived::new(), Instant::now());
+    came(&mut arrived, &READ[..5]);
+    assert_eq!(taken(&mut arrived, from), []);
+    assert!(!arrived.waits(), "a part of one command");
+    advance(MS).await;
+    came(&mut arrived, &[&READ[5..], &READ[..5]].concat());
+    advance(MS).await;
+    came(&mut arrived, &[&READ[5..], READ].concat());
+    assert!(arrived.waits());
+    advance(MS).await;
+    came(&mut arrived, READ);
+    advance(100 * MS).await;
+    assert_eq!(taken(&mut arrived, from), [MS, 2 * MS, 2 * MS, 3 * MS]);
+    assert!(arrived.is_empty() && !arrived.waits());
+    came(&mut arrived, READ);
+    assert_eq!(taken(&mut arrived, from), [103 * MS]);
+}
+
+/// Reads that are told apart are bounded; what comes by more of them counts as come earlier, never later.
+#[tokio::test(start_paused = true)]
+async fn many_reads_are_not_all_told_apart() {
+    let (mut arrived, from) = (Arrived::new(), Instant::now());
+    for _ in 0..100 {
+        came(&mut arrived, READ);
+        advance(MS).await;
+    }
+    let taken = taken(&mut arrived, from);
+    let first: Vec<Duration> = (0..32).map(|n| n * MS).collect();
+    assert_eq!((&taken[..32], taken.len()), (&first[..], 100));
+    assert!(taken[32..].iter().all(|at| *at == 31 * MS));
+}
--- a/crates/node/src/frontend/tests/mod.rs
+++ b/crates/node/src/frontend/tests/mod.rs
@@ -1,12 +1,17 @@
-//! The bounds of client connections, each of the review's table.
+//! Client connections: their bounds, each of the review's table, and what crosses with their ends.
 
 mod bounds;
+mod hang_ups;
+mod input;
 mod stop;
 
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::sync::mpsc::UnboundedSender;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::task::LocalSet;
 
 use super::Frontend;
 use crate::budget::Budget;
@@ -24,3 +29,46 @@
     let upstream = Rc::new(Upstream::new(bounds, budget.clone(), Figures::new([])));
     Frontend::new(messages, upstream, Lifecycle::new(), budget)
 }
+
+/// Longer than anything takes on a busy machine; only a failing test waits for it.
+const LONG: Duration = Duration::from_secs(20);
+
+/// What comes over sockets, with the paused clock held meanwhile: the system takes its own time to bring it.
+async fn held<T>(what: impl Future<Output = T>) -> T {
+    let (release, hold) = std::sync::mpsc::channel::<()>();
+    let held = tokio::task::spawn_blocking(move || hold.recv_timeout(LONG));
+    let done = tokio::select! {
+        done = what => done,
+        _ = held => panic!("nothing came"),
+    };
+    drop(release);
+    done
+}
+
+/// Gives the system time to bring what was sent, and the node to read it, on the paused clock.
+async fn settle() {
+    let waits = || std::thread::sleep(Duration::from_millis(20));
+    tokio::task::spawn_blocking(waits).await.unwrap();
+}
+
+/// Plays this with one client of a frontend within these limits, and with what the driver would be told.
+async fn with_client<F: Future<Output = ()>>(
+    limits: &Limits,
+    play: impl FnOnce(TcpStream, Rc<Frontend>, UnboundedReceiver<Message>) -> F,
+) {
+    let (messages, inbox) = unbounded_channel();
+    let frontend = frontend(limits, messages);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let client = async {
+        let client = TcpStream::connect(address).await.unwrap();
+        play(client, frontend.clone(), inbox).await;
+    };
+    let run = async {
+        tokio::select! {
+            () = frontend.clone().accept(&listener) => unreachable!("the frontend accepts for ever"),
+            () = client => {}
+        }
+    };
+    LocalSet::new().run_until(run).await;
+}
