Let nothing a client sent be lost where the node chooses to close its connection

Cause: before a close `nothing_came` asked the runtime, which answers from what it heard last and makes no call: a request that had come since was closed over. A first command of which a half had been read was dropped without a look at all, though its end may have come. And every close was a plain one: with bytes unread, or coming just behind, it resets the connection, and the reset may overtake the last answer.

Change: the kernel is asked itself, once, and also where half a first command stands. Then sending ends, and what crosses with that is read and dropped, never sent on, until the client closes: for a second and a mebibyte at most as behind an error (`part`), and for no time where descriptors are short. What comes while the last answers are on their way is left to its client, which sends it again.

Result: a request that came before the close is answered, one behind it goes on to nobody and the connection is not reset.

--- a/crates/node/src/frontend/closing.rs
+++ b/crates/node/src/frontend/closing.rs
@@ -1,7 +1,7 @@
 //! When a client connection may end, and how: sending ends first, and what crosses with that is taken and dropped. A
 //! close over unread bytes would reset the connection, and that may overtake the last answer.
 
-use std::io;
+use std::io::{self, Read};
 use std::mem::MaybeUninit;
 use std::time::Duration;
 
@@ -44,11 +44,17 @@
             return true;
         }
         let mut came = [0; 4096];
-        let read = self.stream.try_read(&mut came);
+        let read = (&*SockRef::from(&self.stream)).read(&mut came);
         let read = read.ok().filter(|read| *read > 0);
         read.inspect(|read| self.came_now(&came[..*read])).is_none()
     }
 
+    /// Ends the connection between requests. Where descriptors are short nobody is waited for.
+    pub(super) async fn part(&mut self) {
+        let short = self.frontend.open.get() > self.frontend.budget.clients_wanted();
+        self.linger(if short { Duration::ZERO } else { LINGER }).await;
+    }
+
     /// Ends sending, and takes what the client still sends for a while. Nothing of it goes on to anyone.
     pub(super) async fn linger(&mut self, patience: Duration) {
         if self.stream.shutdown().await.is_err() {
--- a/crates/node/src/frontend/serve.rs
+++ b/crates/node/src/frontend/serve.rs
@@ -41,13 +41,14 @@
             let parting = self.leaving || parts_at.is_some_and(|at| at <= now);
             self.take_commands(now, parting);
             let (owes, between) = (self.owes(), self.between_requests());
-            self.looked = false;
+            // What comes while the last answers are on their way is left to its client.
+            self.looked = parting && (self.looked || owes);
             if self.lost && !owes {
                 return self.linger(LINGER).await;
             }
             if parting && !owes && (between || self.gives_up_part()) {
-                if !between || self.nothing_came() {
-                    return;
+                if self.nothing_came() {
+                    return self.part().await;
                 }
                 continue;
             }
--- /dev/null
+++ b/crates/node/src/frontend/tests/closing.rs
@@ -0,0 +1,111 @@
+//! What crosses with a close that the node chooses: taken and answered, or left to its client, and never between.
+
+use std::time::Duration;
+
+use hallpin_protocol as protocol;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::timeout;
+
+use super::{held, settle, with_client};
+use crate::answer::Answer;
+use crate::config::Limits;
+use crate::message::Message;
+
+const SECOND: Duration = Duration::from_secs(1);
+const READ: &[u8] = b"mg k v Oa Pc=read,d=9000\r\n";
+
+/// Answers the next request, which has to come soon.
+async fn answers(inbox: &mut UnboundedReceiver<Message>) {
+    let Some(Message::Request { reply, .. }) = held(inbox.recv()).await else { panic!("a request") };
+    assert!(reply.send(Answer::untaken(protocol::FAILED)).is_ok());
+}
+
+async fn is_answered(client: &mut TcpStream) {
+    let mut answer = vec![0; protocol::FAILED.len()];
+    held(client.read_exact(&mut answer)).await.unwrap();
+    assert_eq!(answer, protocol::FAILED);
+}
+
+async fn is_closed(client: &mut TcpStream) {
+    let read = held(client.read(&mut [0])).await;
+    assert!(matches!(read, Ok(0)), "{read:?}");
+}
+
+/// The system brings what was sent while the node does not run.
+fn unheard() {
+    std::thread::sleep(Duration::from_millis(100));
+}
+
+/// A whole request that comes in the instant in which its connection is told to make room is taken and answered,
+/// though the runtime has not heard of it.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_came_before_the_close_is_answered() {
+    with_client(&Limits::default(), |mut client, frontend, mut inbox| async move {
+        client.write_all(READ).await.unwrap();
+        answers(&mut inbox).await;
+        is_answered(&mut client).await;
+        settle().await;
+        assert_eq!(client.try_write(READ).unwrap(), READ.len());
+        unheard();
+        assert!(frontend.make_room());
+        answers(&mut inbox).await;
+        is_answered(&mut client).await;
+        is_closed(&mut client).await;
+    })
+    .await;
+}
+
+/// So is one of which a half had been read, of a client that nobody knows yet.
+#[tokio::test(start_paused = true)]
+async fn a_first_request_whose_end_came_before_the_close_is_answered() {
+    with_client(&Limits::default(), |mut client, frontend, mut inbox| async move {
+        let (first, second) = READ.split_at(10);
+        client.write_all(first).await.unwrap();
+        settle().await;
+        assert_eq!(client.try_write(second).unwrap(), second.len());
+        unheard();
+        assert!(frontend.make_room());
+        answers(&mut inbox).await;
+        is_answered(&mut client).await;
+        is_closed(&mut client).await;
+    })
+    .await;
+}
+
+/// So is one that waits for its client's penance to be over: it has been read.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_waits_for_a_penance_is_answered_before_the_close() {
+    with_client(&Limits::default(), |mut client, frontend, mut inbox| async move {
+        client.write_all(b"get k\r\n").await.unwrap();
+        held(client.read_exact(&mut [0; 7])).await.unwrap();
+        client.write_all(READ).await.unwrap();
+        settle().await;
+        assert!(inbox.try_recv().is_err() && frontend.make_room());
+        answers(&mut inbox).await;
+        is_answered(&mut client).await;
+        is_closed(&mut client).await;
+    })
+    .await;
+}
+
+/// What comes behind the end of sending is taken off the connection, which a close over it would reset, and goes on
+/// to nobody.
+#[tokio::test(start_paused = true)]
+async fn what_comes_behind_the_close_is_neither_sent_on_nor_a_reset() {
+    with_client(&Limits::default(), |mut client, frontend, mut inbox| async move {
+        client.write_all(READ).await.unwrap();
+        answers(&mut inbox).await;
+        is_answered(&mut client).await;
+        settle().await;
+        assert!(frontend.make_room());
+        is_closed(&mut client).await;
+        client.write_all(READ).await.unwrap();
+        settle().await;
+        assert!(client.take_error().unwrap().is_none(), "reset");
+        assert!(timeout(2 * SECOND, inbox.recv()).await.is_err(), "sent on");
+        assert_eq!(frontend.open.get(), 0, "closed in the end, though its client is not");
+    })
+    .await;
+}
--- a/crates/node/src/frontend/tests/mod.rs
+++ b/crates/node/src/frontend/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Client connections: their bounds, each of the review's table, and what crosses with their ends.
 
 mod bounds;
+mod closing;
 mod hang_ups;
 mod input;
 mod stop;
