Begin no further command on a connection whose time in a stop has come

Cause: connections part between requests alone. A client that pipelines without pause never is between them, and was read to the end: the last of its commands were taken 2.6 s after SIGTERM, 0.1 s before the kill. A half-sent command kept its connection for its full patience (2.3 s), also where deadlines are short and the kill comes 0.9 s after SIGTERM, which found it open.

Change: at its time what has been read is answered, and nothing else is read but what is missing of a command that has begun (`protocol::missing`: a line byte by byte, a block at once). Behind the time of the last answer half a command is given up: sending ends, and its rest goes to nobody.

Result: the last is taken by the parting time, and every command that was taken has its answer.

--- a/crates/node/src/frontend/closing.rs
+++ b/crates/node/src/frontend/closing.rs
@@ -32,9 +32,9 @@
     }
 
     /// Whether the part of a command that has come is given up where the connection ends: one that nobody knows has
-    /// no claim to the time.
-    pub(super) fn gives_up_part(&self) -> bool {
-        self.leaving && !self.trusted
+    /// no claim to the time, and behind the last answer of the process nothing can be answered.
+    pub(super) fn gives_up_part(&self, phase: &Phase) -> bool {
+        (self.leaving && !self.trusted) || phase.ends.is_some_and(|at| at <= Instant::now())
     }
 
     /// Looks once for what has come just now, which the runtime may not have heard of: a command must not cross with
--- a/crates/node/src/frontend/commands.rs
+++ b/crates/node/src/frontend/commands.rs
@@ -66,13 +66,18 @@
         }
     }
 
-    /// How much may be read now. Reading goes on while commands wait, as only behind them the client's end shows.
-    pub(super) fn wanted(&self) -> usize {
+    /// How much may be read now. Reading goes on while commands wait, as only behind them the client's end shows. At
+    /// the connection's end no further command is begun: what is not read its client sends again elsewhere.
+    pub(super) fn wanted(&self, parting: bool) -> usize {
         if self.lost {
             return LINGER_BYTES.saturating_sub(self.dropped);
         }
         let ahead = if self.has_room() { READ_AHEAD } else { LEAST_AHEAD };
-        ahead.saturating_sub(self.input.len())
+        match parting {
+            true if self.input.is_empty() || self.input.waits() => 0,
+            true => self.input.missing(),
+            false => ahead.saturating_sub(self.input.len()),
+        }
     }
 
     pub(super) fn came_now(&mut self, bytes: &[u8]) {
--- a/crates/node/src/frontend/input.rs
+++ b/crates/node/src/frontend/input.rs
@@ -93,6 +93,11 @@
         Some((input, at.unwrap_or_else(Instant::now)))
     }
 
+    /// Bytes that surely belong to the command that has come in part.
+    pub(super) fn missing(&self) -> usize {
+        protocol::missing(&self.bytes)
+    }
+
     /// Drops what has come. A buffer keeps the size of the largest command that it held.
     pub(super) fn clear(&mut self) {
         *self = Arrived::new();
--- a/crates/node/src/frontend/serve.rs
+++ b/crates/node/src/frontend/serve.rs
@@ -46,7 +46,7 @@
             if self.lost && !owes {
                 return self.linger(LINGER).await;
             }
-            if parting && !owes && (between || self.gives_up_part()) {
+            if parting && !owes && (between || self.gives_up_part(&phase)) {
                 if self.nothing_came() {
                     return self.part().await;
                 }
@@ -63,7 +63,7 @@
             let _place =
                 closable.then(|| Place::take(&frontend, (rank, self.number), self.since, &self.close));
             let unread = self.output.len();
-            let wanted = self.wanted();
+            let wanted = self.wanted(parting);
             self.more &= wanted == 0;
             if waits || wanted == 0 {
                 // What the node leaves unread or untaken is not the client's delay.
--- a/crates/node/src/frontend/tests/closing.rs
+++ b/crates/node/src/frontend/tests/closing.rs
@@ -6,12 +6,13 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::{held, settle, with_client};
 use crate::answer::Answer;
 use crate::config::Limits;
 use crate::message::Message;
+use crate::stop::Stop;
 
 const SECOND: Duration = Duration::from_secs(1);
 const READ: &[u8] = b"mg k v Oa Pc=read,d=9000\r\n";
@@ -109,3 +110,36 @@
     })
     .await;
 }
+
+/// Half a command may get its other half in a stop, and is answered then; behind the time of the last answer it is
+/// left, so that the kill finds no connection open on which a request could be sent.
+#[tokio::test(start_paused = true)]
+async fn half_a_command_is_waited_for_until_the_last_answers_time() {
+    for (comes_after, taken) in
+        [(700, true), (850, false)].map(|(ms, taken)| (Duration::from_millis(ms), taken))
+    {
+        with_client(&Limits::default(), |mut client, frontend, mut inbox| async move {
+            client.write_all(READ).await.unwrap();
+            answers(&mut inbox).await;
+            is_answered(&mut client).await;
+            let (first, second) = READ.split_at(10);
+            // With so short a deadline the kill comes 0.9 s after SIGTERM.
+            frontend.lifecycle.stop(false, Stop::of(Duration::from_millis(200)));
+            client.write_all(first).await.unwrap();
+            settle().await;
+            sleep(comes_after).await;
+            settle().await;
+            if taken {
+                client.write_all(second).await.unwrap();
+                answers(&mut inbox).await;
+                is_answered(&mut client).await;
+                return is_closed(&mut client).await;
+            }
+            let closed = client.try_read(&mut [0]);
+            assert!(matches!(closed, Ok(0)), "{closed:?}");
+            client.write_all(second).await.unwrap();
+            assert!(timeout(2 * SECOND, inbox.recv()).await.is_err(), "sent on behind the close");
+        })
+        .await;
+    }
+}
--- a/crates/node/src/frontend/tests/stop.rs
+++ b/crates/node/src/frontend/tests/stop.rs
@@ -9,9 +9,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::task::LocalSet;
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, timeout, Instant};
 
-use super::frontend;
+use super::{frontend, settle, with_client};
 use crate::answer::Answer;
 use crate::config::Limits;
 use crate::message::Message;
@@ -71,3 +71,40 @@
         assert!(last <= part, "asked {rest:?} after answers that took {serving:?}: taken at {last:?}");
     }
 }
+
+/// A client that sends without pause is never between requests: when its time comes no further command is taken, and
+/// all that was gets its answer before the connection ends.
+#[tokio::test(start_paused = true)]
+async fn after_a_stop_a_client_that_sends_without_pause_is_parted_from() {
+    let ms = Duration::from_millis;
+    with_client(&Limits::default(), |client, frontend, mut inbox| async move {
+        let (mut reader, mut writer) = client.into_split();
+        tokio::task::spawn_local(async move {
+            while writer.write_all(b"mg k v Oa Pc=read,d=9000\r\n").await.is_ok() {
+                settle().await;
+                sleep(ms(5)).await;
+            }
+        });
+        let taken = Rc::new(Cell::new((0, Instant::now())));
+        let take = taken.clone();
+        tokio::task::spawn_local(async move {
+            while let Some(Message::Request { reply, .. }) = inbox.recv().await {
+                take.set((take.get().0 + 1, Instant::now()));
+                tokio::task::spawn_local(async move {
+                    sleep(ms(70)).await;
+                    let _ = reply.send(Answer::untaken(protocol::FAILED));
+                });
+            }
+        });
+        sleep(ms(1000)).await;
+        let (stopped, times) = (Instant::now(), Stop::of(ms(2000)));
+        frontend.lifecycle.stop(false, times);
+        let mut answers = Vec::new();
+        let ended = timeout(times.end_after, reader.read_to_end(&mut answers)).await;
+        let (count, last) = taken.get();
+        assert!(matches!(ended, Ok(Ok(_))), "{ended:?}, the last taken at {:?}", last - stopped);
+        assert!(last - stopped <= times.part_after, "taken at {:?}", last - stopped);
+        assert_eq!(answers, protocol::FAILED.repeat(count), "{count} taken");
+    })
+    .await;
+}
--- a/crates/protocol/src/command.rs
+++ b/crates/protocol/src/command.rs
@@ -112,6 +112,17 @@
     Some(command(line, value).map_or(BAD_LINE, |c| Input::Command(Box::new(c))))
 }
 
+/// How many bytes more surely belong to the command that `buf` begins with and that is not whole: of a line one at a
+/// time, as any may be its last; of a block all.
+pub fn missing(buf: &[u8]) -> usize {
+    let Ok(Some(end)) = line_length(buf) else { return 1 };
+    let mut words = buf[..end].strip_suffix(b"\r").unwrap_or_default().split(|&b| b == b' ');
+    let verb = words.next();
+    let length = words.nth(1).and_then(|word| std::str::from_utf8(word).ok()).and_then(figure::<usize>);
+    let length = length.filter(|&length| verb == Some(b"ms") && length <= MAX_WHOLE);
+    (end + 1 + length.map_or(0, |length| length + 2)).saturating_sub(buf.len()).max(1)
+}
+
 fn command(line: Bytes, value: Bytes) -> Option<Command> {
     let text = std::str::from_utf8(&line).ok()?;
     // Where a part of the line stands in it.
--- /dev/null
+++ b/crates/protocol/src/tests.rs
@@ -0,0 +1,249 @@
+//! What is read is what was written, wherever it is split, and all else is told apart.
+
+use bytes::{Bytes, BytesMut};
+use hallpin_decisions::{CacheNote, Key};
+use std::time::Duration;
+
+use super::*;
+use crate::command::{BAD_BLOCK, BAD_LINE, TOO_LARGE, TOO_LONG, UNKNOWN};
+
+const GET: &str = "mg 7f3a v O9b1f Pc=read,t=acme,d=480,h=1500\r\n";
+const SET: &str = "ms 7f3a 5 O9b1f Pc=put,t=acme,d=480,k=5c0f\r\nhello\r\n";
+
+fn one(text: &[u8]) -> Option<Input> {
+    next_input(&mut BytesMut::from(text))
+}
+
+fn parsed(text: &str) -> Command {
+    match one(text.as_bytes()) {
+        Some(Input::Command(command)) => *command,
+        other => panic!("{text:?} gave {other:?}"),
+    }
+}
+
+#[test]
+fn commands_are_read_wherever_they_are_split() {
+    let text = format!("{GET}{SET}mn\r\n");
+    for cut in 0..text.len() {
+        let mut buf = BytesMut::from(&text.as_bytes()[..cut]);
+        let mut got = Vec::new();
+        while let Some(input) = next_input(&mut buf) {
+            got.push(input);
+        }
+        buf.extend_from_slice(&text.as_bytes()[cut..]);
+        while let Some(input) = next_input(&mut buf) {
+            got.push(input);
+        }
+        let want =
+            [Input::Command(Box::new(parsed(GET))), Input::Command(Box::new(parsed(SET))), Input::Ready];
+        assert_eq!(got, want, "cut at {cut}");
+        assert!(buf.is_empty());
+    }
+}
+
+#[test]
+fn a_command_goes_on_as_it_came_but_for_d() {
+    let wait = Duration::from_micros(77_900);
+    assert_eq!(parsed(GET).forward(wait), GET.replace("d=480", "d=77").as_bytes());
+    assert_eq!(parsed(SET).forward(wait), SET.replace("d=480", "d=77").as_bytes());
+    assert_eq!(parsed(GET).work, Some(Duration::from_micros(1500)));
+    // A name that only ends in d, and a key that holds what looks like it.
+    let odd = "mg d=480 v Od=480 Pbid=480,c=read,d=480\r\n";
+    assert_eq!(parsed(odd).forward(wait), odd.replace("read,d=480", "read,d=77").as_bytes());
+}
+
+#[test]
+fn a_probe_is_answered_by_one_whole_line() {
+    let probed = |text: &str| next_probed(&mut BytesMut::from(text));
+    assert_eq!(probed("MN\r\n"), Ok(Some(true)));
+    assert_eq!(probed("MN Linflight=7\r\n"), Ok(Some(true)));
+    assert_eq!(probed("SERVER_ERROR not ready\r\n"), Ok(Some(false)));
+    assert_eq!(probed("MN\r"), Ok(None));
+    for text in ["MNO\r\n", "MN\n", "\r\n", "VA 1 Oa\r\n"] {
+        assert_eq!(probed(text), Err(Malformed), "{text:?}");
+    }
+}
+
+#[test]
+fn keys_map_alike_everywhere() {
+    assert_eq!(parsed(GET).key, parsed(SET).key);
+    // Known values of FNV-1a.
+    assert_eq!(key_of(""), Key(0xcbf2_9ce4_8422_2325));
+    assert_eq!(key_of("foobar"), Key(0x8594_4171_f739_67e8));
+}
+
+#[test]
+fn what_is_no_command_gets_a_plain_answer() {
+    for line in [
+        "mg",
+        "mg ",
+        "mg  v Oa Pc=r,d=1",
+        "mg k v Oa",
+        "mg k v Pc=r,d=1",
+        "mg k Oa Pc=r,d=1",
+        "mg k v Oa Pc=r",
+        "mg k v Oa Pd=1",
+        "mg k v Oa Pc=r,d=-1",
+        "mg k v Oa Pc=r,d=99999999999",
+        "mg k v O Pc=r,d=1",
+        "mg k v Oa Oa Pc=r,d=1",
+        "mg k v Oa Pc=r,d=1 q",
+        "mg k v Oa Pc=r,d",
+        "mg k\x07 v Oa Pc=r,d=1",
+        "mg é v Oa éPc=r,d=1",
+        "mg k\u{e9} v Oa Pc=r,d=1",
+        "mg k v Oa\x7f Pc=r,d=1",
+        "mg k v Oa Pc=r,d=+1",
+        "mg k v Oa Pc=r,d=1,h=+1",
+        "mg k v Oa Pc=r,d=",
+        "mg k v Oa Pc=r,c=r,d=1",
+        "mg k v Oa Pc=r,d=1,d=1",
+        "mg k v Oa Pc=r,d=1 Pc=r,d=1",
+        "mg k v v Oa Pc=r,d=1",
+    ] {
+        assert_eq!(one(format!("{line}\r\n").as_bytes()), Some(BAD_LINE), "{line}");
+    }
+    assert_eq!(one(b"mg \xff v Oa Pc=r,d=1\r\n"), Some(BAD_LINE));
+    assert_eq!(one(b"mg k v Oa Pc=r,d=1\n"), Some(BAD_LINE));
+    for line in ["", "get k", "stats load", "mn x", "MG k"] {
+        assert_eq!(one(format!("{line}\r\n").as_bytes()), Some(UNKNOWN), "{line}");
+    }
+    // A bad line with a good length takes its block along and keeps the framing.
+    let mut buf = BytesMut::from(&b"ms k 4 Oa\r\nmn\r\n\r\nmn\r\n"[..]);
+    assert_eq!(next_input(&mut buf), Some(BAD_LINE));
+    assert_eq!(next_input(&mut buf), Some(Input::Ready));
+}
+
+#[test]
+fn lost_framing_closes() {
+    for text in [
+        "ms k\r\n",
+        "ms k x Oa Pc=r,d=1\r\n",
+        "ms k 1 Oa Pc=r,d=1\r\nabcd",
+        "ms k -1\r\n",
+        "ms k +1 Oa Pc=r,d=1\r\na\r\n",
+        "ms\x01k 1\r\n",
+    ] {
+        assert_eq!(one(text.as_bytes()), Some(BAD_BLOCK), "{text}");
+    }
+    assert_eq!(one(b"ms k 65537 Oa Pc=r,d=1\r\n"), Some(TOO_LARGE));
+    assert_eq!(one(&[b'a'; MAX_LINE + 1]), None);
+    assert_eq!(one(&[b'a'; MAX_LINE + 2]), Some(TOO_LONG));
+}
+
+fn reply(text: &[u8]) -> Result<Option<Reply>, Malformed> {
+    next_reply(&mut BytesMut::from(text))
+}
+
+#[test]
+fn replies_are_read_wherever_they_are_split() {
+    let text =
+        b"VA 5 O9b1f h0 Z\r\nhe\r\nl\r\nHD O9b1f c77 h1\r\nSERVER_ERROR busy\r\nSERVER_ERROR failed\r\n";
+    for cut in 0..text.len() {
+        let mut buf = BytesMut::from(&text[..cut]);
+        let mut got = Vec::new();
+        while let Some(reply) = next_reply(&mut buf).unwrap() {
+            got.push(reply);
+        }
+        buf.extend_from_slice(&text[cut..]);
+        while let Some(reply) = next_reply(&mut buf).unwrap() {
+            got.push(reply);
+        }
+        let opaque = Bytes::from_static(b"9b1f");
+        let value = Reply::Served {
+            opaque: opaque.clone(),
+            body: Body::Value(Bytes::from_static(b"he\r\nl")),
+            note: Some(CacheNote::MissFetching),
+        };
+        let receipt = Reply::Served {
+            opaque,
+            body: Body::Receipt(Bytes::from_static(b"77")),
+            note: Some(CacheNote::Hit),
+        };
+        assert_eq!(got, [value, receipt, Reply::Busy, Reply::Failed], "cut at {cut}");
+    }
+}
+
+#[test]
+fn malformed_replies_are_not_served() {
+    for text in [
+        "VA x O9b1f\r\n",
+        "VA +1 O9b1f\r\na\r\n",
+        "VA 4194305 O9b1f\r\n",
+        "VA 65537\r\n",
+        "VA 1 O9b1f\r\nabc",
+        "VA 1\r\na\r\n",
+        "HD O9b1f\r\n",
+        "HD c77\r\n",
+        "END\r\n",
+        "\r\n",
+        "VA 1 O9b1f\na\r\n",
+        "CLIENT_ERROR bad\r\n",
+    ] {
+        assert_eq!(reply(text.as_bytes()), Err(Malformed), "{text}");
+    }
+    assert_eq!(reply(&[b'V'; MAX_LINE + 2]), Err(Malformed));
+}
+
+#[test]
+fn of_a_long_value_only_the_line_is_taken() {
+    let mut buf = BytesMut::from(&b"VA 65537 O9b1f h1\r\nabc"[..]);
+    let Ok(Some(Reply::Served { opaque, body, .. })) = next_reply(&mut buf) else { panic!("an answer") };
+    assert_eq!((&opaque[..], &body, &buf[..]), (&b"9b1f"[..], &Body::Long(65537), &b"abc"[..]));
+    assert_eq!(served(&parsed(GET), &opaque, &body).unwrap(), "VA 65537 O9b1f\r\n");
+    assert_eq!(served(&parsed(SET), &opaque, &body), None);
+    assert_eq!(served(&parsed(GET), b"9b1e", &body), None);
+}
+
+/// A line that proves nothing must not let a request go out again; a load report spoils no answer.
+#[test]
+fn busy_is_believed_only_as_it_is_worded() {
+    for (text, want) in [
+        ("busy", Reply::Busy),
+        ("busy Linflight=x,,=", Reply::Busy),
+        ("busy doing it", Reply::Failed),
+        ("busyness", Reply::Failed),
+        ("failed L", Reply::Failed),
+    ] {
+        assert_eq!(reply(format!("SERVER_ERROR {text}\r\n").as_bytes()), Ok(Some(want)), "{text}");
+    }
+    let served = reply(b"VA 1 Oa h1 L\xff=,,Ob\r\nx\r\n").unwrap();
+    assert!(matches!(served, Some(Reply::Served { opaque, .. }) if opaque == "a"));
+}
+
+#[test]
+fn only_an_answer_to_the_command_is_served() {
+    let value = Body::Value(Bytes::from_static(b"hello"));
+    let receipt = Body::Receipt(Bytes::from_static(b"77"));
+    let (get, set) = (parsed(GET), parsed(SET));
+    assert_eq!(served(&get, b"9b1f", &value).unwrap(), "VA 5 O9b1f\r\nhello\r\n");
+    assert_eq!(served(&set, b"9b1f", &receipt).unwrap(), "HD O9b1f c77\r\n");
+    assert_eq!(served(&get, b"9b1e", &value), None);
+    assert_eq!(served(&get, b"9b1f", &receipt), None);
+    assert_eq!(served(&set, b"9b1f", &value), None);
+}
+
+#[test]
+fn advice_is_rounded_up_to_milliseconds() {
+    assert_eq!(busy(Some(Duration::from_micros(250_001))), "SERVER_ERROR busy 251\r\n");
+    assert_eq!(busy(None), "SERVER_ERROR busy\r\n");
+}
+
+/// With all that is missing, and never more, a command is whole.
+#[test]
+fn what_is_missing_belongs_to_the_command_that_has_begun() {
+    for text in [GET, SET, "mn\r\n", "get k\r\n", "ms k x\r\n", "ms k 65537 Oa\r\n"] {
+        for cut in 1..text.len() {
+            let mut buf = BytesMut::from(&text.as_bytes()[..cut]);
+            let whole = loop {
+                if let Some(input) = next_input(&mut buf) {
+                    break input;
+                }
+                let (come, more) = (buf.len(), missing(&buf));
+                assert!((1..=text.len() - come).contains(&more), "{text:?}: {more} more than {come}");
+                buf.extend_from_slice(&text.as_bytes()[come..come + more]);
+            };
+            assert_eq!(Some(whole), one(text.as_bytes()), "{text:?} cut at {cut}");
+        }
+    }
+}
