Close on a client that sends, or takes drips, and does not take its answers

Cause: `progress`, by which a client that takes nothing for 10 s is closed, was set by what it sent as well: one that left under 128 KiB unread and sent a command a second kept its connection for good, and no other may take its place, as it is owed an answer. So did one that took a little every few seconds: any byte taken within 10 s started them anew.

Change: only what is taken counts, and beyond the first 10 s at 16 KiB a second, the rate that a cache server has to keep in a long value, since the answers have been unread.

Result: both are closed, after 13 and under 30 s.

--- a/crates/node/src/frontend/client.rs
+++ b/crates/node/src/frontend/client.rs
@@ -42,8 +42,9 @@
     /// Nothing is taken until then.
     pub(super) paused: Instant,
     pub(super) output: BytesMut,
-    /// When something of the output was last taken.
+    /// When something of the output was last taken, and since when, and behind how many bytes, there has been some.
     pub(super) progress: Instant,
+    pub(super) unread_since: (Instant, u64),
     /// Bytes written so far, and the requests that end once so many are.
     pub(super) written: u64,
     pub(super) unfinished: VecDeque<(u64, Ticket, End)>,
@@ -100,6 +101,7 @@
             paused: since,
             output: BytesMut::new(),
             progress: since,
+            unread_since: (since, 0),
             written: 0,
             unfinished: VecDeque::new(),
             rest: None,
--- a/crates/node/src/frontend/commands.rs
+++ b/crates/node/src/frontend/commands.rs
@@ -88,7 +88,6 @@
     /// So much has been read. Where too much is held, those go first that have asked for nothing yet.
     pub(super) fn came(&mut self, read: usize) {
         self.input.came(read);
-        self.progress = Instant::now();
         if self.lost {
             self.dropped += read;
             return self.input.clear();
--- a/crates/node/src/frontend/output.rs
+++ b/crates/node/src/frontend/output.rs
@@ -17,6 +17,10 @@
 const PENANCE: Duration = Duration::from_millis(100);
 /// A client that takes nothing of its answers for this long is gone.
 pub const STALLED: Duration = Duration::from_secs(10);
+/// Least rate in bytes a second, beyond the first `STALLED`, at which a client takes what it is owed: one that takes
+/// a byte just within each `STALLED` would otherwise hold its connection for ever.
+const LEAST_RATE: f64 = 16.0 * 1024.0;
+
 impl Client {
     /// Takes the answer to the oldest command, whose last byte ends its request.
     pub(super) fn queue(&mut self, answer: Answer) {
@@ -36,6 +40,7 @@
     pub(super) fn put(&mut self, bytes: &[u8]) {
         if self.output.is_empty() {
             self.progress = Instant::now();
+            self.unread_since = (self.progress, self.written);
         }
         self.frontend.budget.hold(bytes.len());
         self.output.extend_from_slice(bytes);
@@ -82,12 +87,14 @@
         }
     }
 
-    /// When it will have taken nothing of its answers for too long.
+    /// When it will have taken too little of its answers for too long. What it sends meanwhile does not count.
     pub(super) fn stalls_at(&self) -> Instant {
-        self.progress + STALLED
+        let (since, written) = self.unread_since;
+        let earned = Duration::from_secs_f64((self.written - written) as f64 / LEAST_RATE);
+        self.progress.min(since + earned) + STALLED
     }
 
-    /// It has taken nothing of its answers for too long.
+    /// It has taken nothing of its answers for too long, or too little.
     pub(super) fn stalled(&self) {
         if let Some(suppressed) = self.frontend.stuck.pass(Instant::now()) {
             warn!(suppressed, "a client does not take its answers; closed");
--- /dev/null
+++ b/crates/node/src/frontend/tests/floods.rs
@@ -0,0 +1,78 @@
+//! Clients that are slow in both directions, and that take nothing.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::task::LocalSet;
+use tokio::time::{sleep, Instant};
+
+use super::{frontend, settle};
+use crate::answer::Answer;
+use crate::config::Limits;
+use crate::frontend::STALLED;
+use crate::message::Message;
+
+const SECOND: Duration = Duration::from_secs(1);
+const KIB: usize = 1024;
+
+/// How long a client that is owed an answer of `length` bytes keeps its connection that sends a command each second
+/// and takes `taken` bytes of the answer every `each`. The kernels hold little between the two.
+async fn keeps_for(length: usize, taken: usize, each: Duration) -> Duration {
+    let (messages, mut inbox) = unbounded_channel();
+    let frontend = frontend(&Limits::default(), messages);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    SockRef::from(&listener).set_send_buffer_size(4096).unwrap();
+    let address = listener.local_addr().unwrap();
+    let client = async {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(4096).unwrap();
+        let (mut reader, mut writer) = socket.connect(address).await.unwrap().into_split();
+        writer.write_all(b"mg k v Oa Pc=read,d=9000\r\n").await.unwrap();
+        let Some(Message::Request { reply, .. }) = inbox.recv().await else { panic!("a request") };
+        assert!(reply.send(Answer::untaken(Bytes::from(vec![b'v'; length]))).is_ok());
+        let owed_since = Instant::now();
+        let taking = tokio::task::spawn_local(async move {
+            let mut piece = vec![0; taken];
+            loop {
+                sleep(each).await;
+                if reader.read_exact(&mut piece).await.is_err() {
+                    return;
+                }
+            }
+        });
+        for command in std::iter::repeat_n(b"mn\r\n", 100) {
+            sleep(SECOND).await;
+            settle().await;
+            if frontend.open.get() == 0 || writer.write_all(command).await.is_err() {
+                break;
+            }
+        }
+        taking.abort();
+        owed_since.elapsed()
+    };
+    let run = async {
+        tokio::select! {
+            () = frontend.clone().accept(&listener) => unreachable!("the frontend accepts for ever"),
+            kept = client => kept,
+        }
+    };
+    LocalSet::new().run_until(run).await
+}
+
+/// What a client sends is no sign that it takes its answers. It leaves less unread than keeps its commands waiting.
+#[tokio::test(start_paused = true)]
+async fn a_client_that_only_sends_does_not_keep_its_connection() {
+    let kept = keeps_for(100 * KIB, 1, Duration::from_secs(3600)).await;
+    assert!(kept <= STALLED + 3 * SECOND, "kept for {kept:?}");
+}
+
+/// Nor are a few bytes now and then.
+#[tokio::test(start_paused = true)]
+async fn a_client_that_takes_its_answer_in_drips_does_not_keep_its_connection() {
+    let kept = keeps_for(KIB * KIB, 16 * KIB, 3 * SECOND).await;
+    assert!(kept <= 3 * STALLED, "kept for {kept:?}");
+}
--- a/crates/node/src/frontend/tests/mod.rs
+++ b/crates/node/src/frontend/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod bounds;
 mod closing;
+mod floods;
 mod hang_ups;
 mod input;
 mod stop;
