Write an attempt's last byte only while it may still go out

Seen by reading: the module looks at a keyed class's window when it decides (rules.rs, may_send), and the attempt then dials for up to the connect time, waits for a kept connection to settle and writes with `write_all`. Nothing looked at the clock again but for a drain's grace (upstream/pool.rs, open), so a connection that came up late, or a server that took nothing, put the last byte behind the window; and of two attempts that are out at once the one begun first was bound by nothing when the other was written ahead of it. A client that closed was told of by a message only, and its attempt wrote on. Ruled out: that an attempt which is called off counts as unwritten while its last byte is out. The flag is set in the same turn as the write that takes the last byte, and a task that is called off has no further turn (a_command_is_known_as_written_exactly_if_its_last_byte_went_out stays).

Change: an `Errand` goes with each attempt: the time at which the node stops waiting, the class's window less a round (nothing at all for what must not run twice), when attempts of the same request were written that may have run, and the client's flag. It is looked at before each write, also of the rest of a command that was taken in part; the connection is given up without the last byte, or kept where no byte went out. What was turned away starts no window. Edits beside: `repeats` in driver.rs and driver/state.rs, `runs` in driver/state.rs, the attempt's new signature in plane/tests/budgets.rs.

--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -34,6 +34,7 @@
             clock,
             names: Names::of(settings),
             max_attempts: settings.limits.max_attempts as usize,
+            repeats: attempts::repeats(settings),
             retry_after: settings.limits.retry_after,
             round: Duration::from_secs_f64(settings.round),
             longest: duration(settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max)),
--- a/crates/node/src/driver/attempts.rs
+++ b/crates/node/src/driver/attempts.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cmp::Reverse;
 use std::rc::Rc;
+use std::time::Duration;
 
 use hallpin_decisions::*;
 use tokio::time::Instant;
@@ -12,7 +13,18 @@
 use super::timers::duration;
 use crate::figures::End;
 use crate::message::Message;
-use crate::upstream::Ended;
+use crate::upstream::{Ended, Errand};
+
+/// Of each class: for how long after the first attempt that may have run another may go out, `None` for ever. A
+/// round less than repeats are dropped for, as what is written takes its time to arrive.
+pub(super) fn repeats(settings: &Settings) -> Vec<Option<Duration>> {
+    let limit = |class: &Class| match class.effect {
+        Effect::Safe => None,
+        Effect::Keyed => Duration::try_from_secs_f64((class.window - settings.round).max(0.0)).ok(),
+        Effect::Unsafe => Some(Duration::ZERO),
+    };
+    settings.classes.iter().map(limit).collect()
+}
 
 impl Driver {
     /// The balancer has one out at a time: it waits longer between two than one lasts.
@@ -42,17 +54,27 @@
         let used = fleet.map_or(Ok(None), |fleet| fleet.begin(&server, live.command.tenant.as_deref()));
         let void = void || used.is_err();
         let sent = fleet.filter(|_| !void).and_then(|fleet| fleet.sent(&server));
+        let runs = live.attempts.first().map_or_else(Rc::default, |first| first.runs.clone());
         let task = (!void).then(|| {
             let (upstream, messages) = (self.upstream.clone(), self.messages.clone());
-            let (command, written) = (live.command.clone(), written.clone());
+            let class = self.names.class(&live.command.class);
+            let errand = Errand {
+                command: live.command.clone(),
+                attempt,
+                until,
+                repeats: class.map_or(Some(Duration::ZERO), |class| self.repeats[class.0]),
+                runs: runs.clone(),
+                written: written.clone(),
+                gone: live.gone.clone(),
+            };
             let attempt_made = async move {
-                let ended = upstream.attempt(&server, &command, until, &written).await;
+                let ended = upstream.attempt(&server, &errand).await;
                 // The driver is gone only when the program ends.
                 let _ = messages.send(Message::Ended { request: id, attempt, ended });
             };
             tokio::task::spawn_local(attempt_made).abort_handle()
         });
-        live.attempts.push(Attempt { since: now, written, task, sent, used: used.ok().flatten() });
+        live.attempts.push(Attempt { since: now, written, runs, task, sent, used: used.ok().flatten() });
         if void {
             self.outcome(id, attempt, Status::Void, None, now);
         } else {
@@ -83,6 +105,9 @@
         if a.task.take().is_none() {
             return;
         }
+        if !ended.status.may_have_run() {
+            a.runs.never_ran(attempt);
+        }
         let since = a.since;
         if let Some(answer) = ended.answer {
             self.answer(id, answer, End::Completed);
--- a/crates/node/src/driver/state.rs
+++ b/crates/node/src/driver/state.rs
@@ -21,11 +21,13 @@
 use crate::log::Throttle;
 use crate::message::{Gone, Message};
 use crate::plane::{Fleet, Sent, Use};
-use crate::upstream::Upstream;
+use crate::upstream::{Runs, Upstream};
 
 pub(super) struct Attempt {
     pub(super) since: Instant,
     pub(super) written: Rc<Cell<bool>>,
+    /// Of all attempts of the request.
+    pub(super) runs: Rc<Runs>,
     pub(super) task: Option<AbortHandle>,
     /// What the plane, where there is one, is told with the outcome.
     pub(super) sent: Option<Sent>,
@@ -55,6 +57,8 @@
     pub(super) clock: Clock,
     pub(super) names: Names,
     pub(super) max_attempts: usize,
+    /// Of each class: for how long after the first attempt that may have run another may go out.
+    pub(super) repeats: Vec<Option<Duration>>,
     pub(super) retry_after: bool,
     pub(super) round: Duration,
     /// No request is held longer than any class allows, whatever its client says: timers of ended ones stay in
--- a/crates/node/src/plane/tests/budgets.rs
+++ b/crates/node/src/plane/tests/budgets.rs
@@ -1,22 +1,20 @@
 //! What nodes have open at a box keeps to its whole.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::BytesMut;
 use hallpin_budgets::Contracts;
 use hallpin_decisions::{ServerId, Status};
-use hallpin_protocol::{next_input, Input};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
-use tokio::time::{advance, pause, sleep, timeout, Instant};
+use tokio::time::{advance, pause, sleep, timeout};
 
 use super::{addresses, Node, LONG};
 use crate::budget::Budget;
 use crate::plane::{Opened, Use};
+use crate::upstream::tests::{errand, READ};
 use crate::upstream::{Bounds, Upstream};
 
 /// A box accepts 40 connections.
@@ -102,13 +100,8 @@
         });
         let server = ServerId("s-0".into());
         let ask = || async {
-            let Some(Input::Command(command)) =
-                next_input(&mut BytesMut::from("mg k v Oa Pc=read,d=60000\r\n"))
-            else {
-                panic!("a command")
-            };
             let Ok(used) = node.fleet.begin(&server, Some("a")) else { return None };
-            let ended = upstream.attempt(&server, &command, Instant::now() + LONG, &Cell::new(false)).await;
+            let ended = upstream.attempt(&server, &errand(READ)).await;
             used.into_iter().for_each(|used| node.fleet.finish(used));
             Some(ended.status)
         };
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -3,11 +3,13 @@
 
 mod attempt;
 mod connection;
+mod errand;
 mod pool;
 mod rest;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 pub use attempt::{Ended, Served};
+pub use errand::{Errand, Runs};
 pub use pool::{Bounds, Upstream};
 pub use rest::{Broken, Rest};
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -1,15 +1,16 @@
 //! One attempt or probe on a connection, and what came of it.
 
-use std::cell::Cell;
+use std::io::ErrorKind;
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
 use hallpin_decisions::{CacheNote, ServerId, Status};
-use hallpin_protocol::{self as protocol, Body, Command, Reply};
+use hallpin_protocol::{self as protocol, Body, Reply};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::{timeout_at, Instant};
 
 use super::connection::Connection;
+use super::errand::Errand;
 use super::pool::Upstream;
 use super::rest::{Rest, READ_CHUNK};
 
@@ -71,41 +72,62 @@
         status.unwrap_or_else(|failed| failed)
     }
 
-    /// One attempt. `written` is set once the last byte is: from then on the command may have run. Dropping
-    /// the future closes the connection, which gives the attempt up.
-    pub async fn attempt(
-        self: &Rc<Self>,
-        server: &ServerId,
-        command: &Command,
-        until: Instant,
-        written: &Cell<bool>,
-    ) -> Ended {
-        let connection = match self.open(server, until).await {
+    /// One attempt. Dropping the future closes the connection, which gives the attempt up.
+    pub async fn attempt(self: &Rc<Self>, server: &ServerId, errand: &Errand) -> Ended {
+        // What may not be written by then need not come up later either.
+        let connection = match self.open(server, errand.latest()).await {
             Ok(connection) => connection,
             Err(status) => return status.into(),
         };
+        if let Err(status) = errand.may_write(Instant::now()) {
+            self.keep(server, connection);
+            return status.into();
+        }
         let cut = connection.cut();
         tokio::select! {
             biased;
             // It may have run, but that it was cut off says nothing of the server.
-            () = cut => if written.get() { SPOILT } else { Status::Void }.into(),
-            ended = self.converse(server, command, until, written, connection) => ended,
+            () = cut => if errand.written.get() { SPOILT } else { Status::Void }.into(),
+            ended = self.converse(server, errand, connection) => ended,
+        }
+    }
+
+    /// Writes the command while it may go out. Where it fails the last byte was not written: it never ran.
+    async fn put(&self, server: &ServerId, errand: &Errand, connection: &Connection) -> Result<(), Status> {
+        let text = errand.command.forward(errand.until.saturating_duration_since(Instant::now()));
+        let mut left = &text[..];
+        while !left.is_empty() {
+            let now = Instant::now();
+            errand.may_write(now)?;
+            // For a drain the first byte counts.
+            if left.len() == text.len() && !self.may_send(server, connection) {
+                return Err(Status::Unreachable);
+            }
+            match connection.stream.try_write(left) {
+                Ok(written) if written == left.len() => {
+                    errand.wrote(now);
+                    return Ok(());
+                }
+                Ok(written) => left = &left[written..],
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    let writable = timeout_at(errand.latest(), connection.stream.writable()).await;
+                    writable.map_err(|_| Status::Unreachable)?.map_err(|_| Status::Unreachable)?;
+                }
+                Err(_) => return Err(Status::Unreachable),
+            }
         }
+        Ok(())
     }
 
     async fn converse(
         self: &Rc<Self>,
         server: &ServerId,
-        command: &Command,
-        until: Instant,
-        written: &Cell<bool>,
+        errand: &Errand,
         mut connection: Connection,
     ) -> Ended {
-        let text = command.forward(until.saturating_duration_since(Instant::now()));
-        if connection.stream.write_all(&text).await.is_err() {
-            return Status::Unreachable.into();
+        if let Err(status) = self.put(server, errand, &connection).await {
+            return status.into();
         }
-        written.set(true);
         self.figures.upstream_request();
         // Not kept with the connection: it has the size of the largest answer.
         let mut buf = BytesMut::new();
@@ -125,7 +147,9 @@
             Reply::Busy => Status::Overloaded.into(),
             Reply::Failed => Status::Error.into(),
             Reply::Served { opaque, body, note } => {
-                let Some(text) = protocol::served(command, &opaque, &body) else { return SPOILT.into() };
+                let Some(text) = protocol::served(&errand.command, &opaque, &body) else {
+                    return SPOILT.into();
+                };
                 let served =
                     |rest| Ended { status: Status::Success, note, answer: Some(Served { text, rest }) };
                 if let Body::Long(length) = body {
--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -119,7 +119,7 @@
     }
 
     /// Whether this is where the list has the server, and its grace, if it leaves, is not over.
-    fn may_send(&self, server: &ServerId, connection: &Connection) -> bool {
+    pub(super) fn may_send(&self, server: &ServerId, connection: &Connection) -> bool {
         let endpoints = self.endpoints.borrow();
         let open = |e: &Endpoint| e.closes.is_none_or(|at| Instant::now() < at);
         let address = connection.stream.peer_addr().ok();
--- a/crates/node/src/upstream/tests.rs
+++ b/crates/node/src/upstream/tests.rs
@@ -1,5 +1,6 @@
 //! What the tests of the connections share.
 
+mod last_byte;
 mod long_values;
 mod pooling;
 
@@ -7,14 +8,17 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
+use hallpin_decisions::AttemptId;
 use hallpin_protocol::{next_input, Command, Input};
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 
-use super::{Bounds, Upstream};
+use super::{Bounds, Errand, Upstream};
 use crate::budget::Budget;
 use crate::clock::Clock;
 use crate::config::{Limits, RESERVED};
 use crate::figures::Figures;
+use crate::message::Gone;
 use crate::roster::Roster;
 
 const LONG: Duration = Duration::from_secs(20);
@@ -32,9 +36,24 @@
     Roster::from_json(list.as_bytes(), &Clock::start()).unwrap()
 }
 
-fn command() -> Command {
-    match next_input(&mut BytesMut::from("mg k v Oa Pc=read,d=60000\r\n")) {
+fn command(text: &str) -> Command {
+    match next_input(&mut BytesMut::from(text)) {
         Some(Input::Command(command)) => *command,
         other => panic!("{other:?}"),
     }
 }
+
+/// The first attempt of a request that may be repeated at any time.
+pub(crate) fn errand(text: &str) -> Errand {
+    Errand {
+        command: Rc::new(command(text)),
+        attempt: AttemptId(0),
+        until: Instant::now() + LONG,
+        repeats: None,
+        runs: Rc::default(),
+        written: Rc::default(),
+        gone: Gone::default(),
+    }
+}
+
+pub(crate) const READ: &str = "mg k v Oa Pc=read,d=60000\r\n";
--- a/crates/node/src/upstream/tests/long_values.rs
+++ b/crates/node/src/upstream/tests/long_values.rs
@@ -1,7 +1,5 @@
 //! How long a cache server is waited for, on the paused clock.
 
-use std::cell::Cell;
-
 use hallpin_decisions::{ServerId, Status};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::Instant;
@@ -32,8 +30,7 @@
         }
         let _ = stream.write_all(b"\r\n").await;
     });
-    let (server, command, written) = (ServerId("s".into()), command(), Cell::new(false));
-    let ended = upstream.attempt(&server, &command, Instant::now() + LONG, &written).await;
+    let ended = upstream.attempt(&ServerId("s".into()), &errand(READ)).await;
     let mut rest = ended.answer.and_then(|served| served.rest).expect("a long value");
     let mut came = 0;
     let broken = loop {
--- a/crates/node/src/upstream/tests/pooling.rs
+++ b/crates/node/src/upstream/tests/pooling.rs
@@ -1,6 +1,5 @@
 //! Which connections are used, kept and closed.
 
-use std::cell::Cell;
 use std::io;
 
 use hallpin_decisions::{ServerId, Status};
@@ -48,8 +47,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let upstream = upstream(grace, 9);
         upstream.learn(&roster(&listener, "ready"));
-        let (server, command, flag) = (ServerId("s".into()), command(), Cell::new(false));
-        let attempt = upstream.attempt(&server, &command, Instant::now() + LONG, &flag);
+        let (server, errand) = (ServerId("s".into()), errand(READ));
+        let attempt = upstream.attempt(&server, &errand);
         let peer = async {
             let mut stream = listener.accept().await.unwrap().0;
             let mut seen = Vec::new();
@@ -78,7 +77,11 @@
             peer
         );
         let status = if written { Status::Error } else { Status::Unreachable };
-        assert_eq!((ended.status, !seen.is_empty(), flag.get()), (status, written, written), "{phase}");
+        assert_eq!(
+            (ended.status, !seen.is_empty(), errand.written.get()),
+            (status, written, written),
+            "{phase}"
+        );
     }
 }
 
