--- a/crates/node/src/frontend/tests/closing.rs
+++ b/crates/node/src/frontend/tests/closing.rs
@@ -112,6 +112,25 @@
     .await;
 }
 
+/// One that has to make room for others closes at once, though its client does not: nobody else may come meanwhile.
+#[tokio::test(start_paused = true)]
+async fn a_connection_that_makes_room_waits_for_nobody() {
+    with_client(&Limits::default(), |mut client, frontend, mut inbox| async move {
+        client.write_all(READ).await.unwrap();
+        answers(&mut inbox).await;
+        is_answered(&mut client).await;
+        settle().await;
+        assert!(frontend.make_room());
+        held(async {
+            while frontend.open.get() > 0 {
+                frontend.closed.notified().await;
+            }
+        })
+        .await;
+    })
+    .await;
+}
+
 /// Half a command may get its other half in a stop, and is answered then; behind the time of the last answer it is
 /// left, so that the kill finds no connection open on which a request could be sent.
 #[tokio::test(start_paused = true)]
