Test that accepting ends in a flood, and whose the queue is at a stop

The bound of accept_until had no test: connections that come as fast as they are taken would put off the end of listening. A second test shows that a successor that serves is left what waits, and one that does not is not. The operators' socket no longer sets SO_REUSEPORT, not even to off.

--- a/crates/node/src/port.rs
+++ b/crates/node/src/port.rs
@@ -23,7 +23,9 @@
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
     };
     socket.set_reuseaddr(true)?;
-    socket.set_reuseport(shared)?;
+    if shared {
+        socket.set_reuseport(true)?;
+    }
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
--- a/crates/node/src/succession.rs
+++ b/crates/node/src/succession.rs
@@ -1,5 +1,8 @@
 //! Whose turn it is to accept, where an old and a new process serve at one address.
 
+#[cfg(test)]
+mod tests;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 
