Test that a call asked for twice is made once

Where a call takes longer than half the time to ask the balancer asks a second time; that call was left in the queue too and followed the failure of the first at once.

--- a/crates/node/src/discovery/tests/silence.rs
+++ b/crates/node/src/discovery/tests/silence.rs
@@ -91,3 +91,25 @@
     let after = LocalSet::new().run_until(silent).await;
     assert!(after < 6 * SECOND, "learnt after {after:?}");
 }
+
+/// A call may take longer than half the time to ask, and the balancer then asks a second time: that is not a call that
+/// follows the failure of the first at once.
+#[tokio::test(start_paused = true)]
+async fn a_call_that_was_asked_for_twice_is_made_once() {
+    let twice = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let _node = Following::start(asked(1.0), 1, listener.local_addr().expect("an address"));
+        let (mut silent, _) = listener.accept().await.expect("a connection");
+        call(&mut silent).await.expect("the whole list is asked for");
+        let since = Instant::now();
+        let gone = silent.read(&mut [0]).await;
+        assert!(matches!(gone, Ok(0)), "it is given up: {gone:?}");
+        let given_up = Instant::now();
+        assert!(given_up - since > SECOND / 2, "the balancer has asked again meanwhile");
+        listener.accept().await.expect("it is asked anew");
+        given_up.elapsed()
+    };
+    let after = LocalSet::new().run_until(twice).await;
+    // The least that the balancer waits.
+    assert!(after >= SECOND / 20, "asked again after {after:?}");
+}
