Let servers that warm up take their keys by lot, so that the sum over all nodes holds

Ruled out: late news, clients that come again, hedges (later places pass by cold servers). Cause: `refresh_shares` gave a server that warms up a part of its keys, each with all of its requests. The mean was right, but a key that all nodes ask for has the sum at its home, and a node that sees a slice of it cannot tell.

Change: such a server is home to all of its keys for the same part of the requests, by a lot from key and arrival (`owner`); the others go to the next owner on the ring, which had the key before. Nothing depends on the number of nodes. `hedge.rs` names the request in place of its key.

--- a/crates/decisions/src/balance/choose.rs
+++ b/crates/decisions/src/balance/choose.rs
@@ -26,9 +26,12 @@
         bound.ceil().max((self.floor() * (server.share / mean).min(1.0)).ceil())
     }
 
-    /// The owner of one of a key's places now.
-    pub fn owner(&self, key: Key, place: u64) -> Option<&ServerId> {
-        owner(&self.ring, key, place, |p| self.servers.get(&p.server).is_some_and(|s| p.rank < s.active))
+    /// The owner of one of a request's places now. Danger: each node sees a slice of a key that all ask for,
+    /// its home the sum. One that warms up is home to all of its keys, for a part of the requests, by lot.
+    pub fn owner(&self, r: &Request, place: u64) -> Option<&ServerId> {
+        let lot = hash_key(r.key, r.arrived.to_bits()) as f64 / u64::MAX as f64;
+        let takes = |s: &Server, p: &Point| p.rank < s.active && (lot <= s.part || self.fleet.warm == 0);
+        owner(&self.ring, r.key, place, |p| self.servers.get(&p.server).is_some_and(|s| takes(s, p)))
     }
 
     /// The first server below its cap along the key's places; `None` if all are full.
@@ -39,7 +42,7 @@
         let heavy = r.work > HEAVY * self.usual_work && self.fleet.warm > 0;
         let part = 1.0 + OVER * self.hit_time / self.tightest_aim;
         for place in r.first..r.first + MAX_JUMPS {
-            let id = self.owner(r.key, place)?;
+            let id = self.owner(r, place)?;
             let server = &self.servers[id];
             let tried = r.attempts.iter().any(|a| a.server == *id && a.status != Some(Status::Absent));
             // A cold server takes the keys that it owns, not the overflow of others.
--- a/crates/decisions/src/balance/hedge.rs
+++ b/crates/decisions/src/balance/hedge.rs
@@ -29,7 +29,7 @@
             return;
         }
         let (key, hedge) = (r.key, repeats && self.retry_tokens >= 1.0);
-        let other = |place: &u64| self.owner(key, *place) != Some(&last.server);
+        let other = |place: &u64| self.owner(r, *place) != Some(&last.server);
         let next = (r.first + 1..r.first + MAX_JUMPS).find(other).unwrap_or(r.first);
         self.retry_tokens = (self.retry_tokens - f64::from(repeats)).max(0.0);
         let Some(server) = self.choose(r).filter(|_| hedge) else {
--- a/crates/decisions/src/balance/ring.rs
+++ b/crates/decisions/src/balance/ring.rs
@@ -21,8 +21,8 @@
     hash(&(u128::from(number) << 64 | u128::from(key.0)).to_le_bytes())
 }
 
-/// A virtual node of a server. Its slot is the top of its hash; while the server warms up, only points of low
-/// rank are active. Danger: slots built anew at each step of a warm-up took more time than nodes have.
+/// A virtual node of a server. Its slot is the top of its hash; of a server of a slow kind, only points of
+/// low rank are active. Danger: slots built anew at each change of that took more time than nodes have.
 pub struct Point {
     pub hash: u64,
     pub server: ServerId,
@@ -56,16 +56,10 @@
 /// The first point of a slot or of one beyond. Hashes lie evenly, so it is near its part of the array;
 /// halving all of a large one is a look into far memory at each step.
 pub fn first_at(ring: &[Point], slot: u64) -> usize {
-    let before = |p: &Point| p.hash >> (64 - SLOT_BITS) < slot;
+    let before = |p: &&Point| p.hash >> (64 - SLOT_BITS) < slot;
     let guess = (slot as usize * ring.len()) >> SLOT_BITS;
-    let (mut low, mut high, mut step) = (guess, guess, 32);
-    while low > 0 && !before(&ring[low - 1]) {
-        (low, high, step) = ((low - 1).saturating_sub(step), low - 1, step * 2);
-    }
-    while high < ring.len() && before(&ring[high]) {
-        (low, high, step) = (high + 1, (high + 1 + step).min(ring.len()), step * 2);
-    }
-    low + ring[low..high].partition_point(before)
+    let back = ring[..guess].iter().rev().take_while(|p| !before(p)).count();
+    guess - back + ring[guess..].iter().take_while(before).count()
 }
 
 /// The owner of slot h(key, attempt): the server of the nearest active point clockwise.
--- a/crates/decisions/src/balance/server.rs
+++ b/crates/decisions/src/balance/server.rs
@@ -20,6 +20,8 @@
     pub share: f64,
     pub points: u16,
     pub active: u16,
+    /// Part of the requests for its keys that it takes while it warms up.
+    pub part: f64,
     /// In-flight count above which answers get slow, learnt from their times.
     pub limit: Limit,
     pub answered: Seconds,
--- a/crates/decisions/src/balance/shares.rs
+++ b/crates/decisions/src/balance/shares.rs
@@ -4,6 +4,9 @@
 
 use super::state::*;
 
+/// Least part of its requests by which one that warms up is met.
+const LEAST: f64 = 1.0 / 16.0;
+
 impl Node {
     /// Points for the servers listed, by weight where it is told; forgets servers that are gone.
     pub fn refresh_members(&mut self) {
@@ -48,23 +51,21 @@
         let fastest = self.kinds.values().map(Kind::slowness).fold(f64::MAX, f64::min);
         for s in self.servers.values_mut() {
             let in_array = s.entry.state == ServerState::Ready && !s.out && s.points > 0;
-            // Sixteen steps of warm-up: the owners change seldom, each time of few keys.
             let warmth = s.warmth(self.now, &self.settings.guarantees);
             // Danger: one that comes back cold and is slow besides was pushed over by what its age allows;
             // half of that has to do at first, as some nodes are to meet it before all lean on it.
-            let trusted = warmth * (1.0 + warmth) / 2.0;
-            let shown = if warmth < 1.0 { trusted.min(1.0 / s.slowness.max(1.0)) } else { 1.0 };
-            let warmth = (shown * 16.0).floor().max(1.0) / 16.0;
+            let trusted = (warmth * (1.0 + warmth) / 2.0).min(1.0 / s.slowness.max(1.0)).max(LEAST);
+            s.part = if warmth < 1.0 { trusted } else { 1.0 };
             // Danger: machines of unlike speed where weights do not tell: slow ones drown in a part that fast
             // ones hardly feel. The kind is only a label under which a node sees enough answers.
             let kind = self.kinds.get(&s.entry.kind).filter(|_| learn);
             let speed = kind.map_or(1.0, |k| fastest / k.slowness());
-            let part = warmth * ((speed.max(SLOWEST) * 16.0).round() / 16.0);
-            s.share = if in_array { s.size * part } else { 0.0 };
-            s.active = if in_array { (f64::from(s.points) * part).ceil() as u16 } else { 0 };
+            let speed = (speed.max(SLOWEST) * 16.0).round() / 16.0;
+            s.share = if in_array { s.size * s.part * speed } else { 0.0 };
+            s.active = if in_array { (f64::from(s.points) * speed).ceil() as u16 } else { 0 };
             if in_array {
                 self.fleet.ready += 1;
-                self.fleet.warm += usize::from(warmth >= 1.0);
+                self.fleet.warm += usize::from(s.part >= 1.0);
                 self.fleet.share += s.share;
                 self.fleet.limit += s.limit.value;
             }
--- /dev/null
+++ b/crates/decisions/tests/ramp/servers.rs
@@ -0,0 +1,101 @@
+//! Servers: how long each takes, and what has reached those that are cold.
+
+use std::collections::{HashSet, VecDeque};
+
+use hallpin_decisions::*;
+
+use crate::site::{Site, START};
+
+/// Longest wait at a server before it turns requests away.
+const QUEUE: Seconds = 0.3;
+/// What the origin takes for a key that a server lacks.
+const FETCH: Seconds = 0.15;
+
+#[derive(Default)]
+pub struct CacheServer {
+    pub started: Option<Seconds>,
+    busy: Seconds,
+    kept: HashSet<u64>,
+    /// Work of late: when, how much, and whether its sender knew of the start.
+    sent: VecDeque<(Seconds, f64, bool)>,
+    pub fallen: bool,
+}
+
+/// What was seen at the cold servers, and of all requests.
+#[derive(Default, Debug)]
+pub struct Seen {
+    /// The most within any window of what the server bore then, and of that what came from those who knew.
+    pub most: f64,
+    pub most_informed: f64,
+    /// Servers that fell, and those of which over two thirds came from nodes that had been told.
+    pub fallen: u64,
+    pub pushed_over: u64,
+    /// Work that reached cold servers, as a share of what they could do.
+    pub used: f64,
+    pub requests: u64,
+    pub served: u64,
+    pub sends: u64,
+    pub misses: u64,
+}
+
+impl CacheServer {
+    /// It starts anew, empty.
+    pub fn start(&mut self, now: Seconds) {
+        *self = CacheServer { started: Some(now), busy: now, ..CacheServer::default() };
+    }
+
+    /// A request reaches it: its outcome, and when.
+    pub fn take(
+        &mut self,
+        site: &Site,
+        now: Seconds,
+        key: u64,
+        work: f64,
+        write: bool,
+        seen: &mut Seen,
+    ) -> (Seconds, Status, CacheNote) {
+        let speed = site.capacity * self.started.map_or(1.0, |at| site.warmth(now - at));
+        let begins = self.busy.max(now);
+        if begins > now + QUEUE || self.fallen {
+            return (
+                now + 0.002,
+                if self.fallen { Status::Unreachable } else { Status::Overloaded },
+                CacheNote::Miss,
+            );
+        }
+        self.busy = begins + work / speed;
+        let hit = write || !self.kept.insert(key);
+        seen.misses += u64::from(!hit);
+        let note = if hit { CacheNote::Hit } else { CacheNote::Miss };
+        // A core each of its speed: other requests run beside it.
+        (self.busy + work + 0.002 + if hit { 0.0 } else { FETCH }, Status::Success, note)
+    }
+
+    /// Counts what reaches it while it is cold, as the referee does.
+    pub fn weigh(&mut self, site: &Site, now: Seconds, work: f64, told: bool, seen: &mut Seen) {
+        let Some(age) = self.started.map(|at| now - at).filter(|age| *age < site.guarantees.ramp) else {
+            return;
+        };
+        if self.fallen {
+            return;
+        }
+        self.sent.push_back((now, work, told));
+        while self.sent.front().is_some_and(|(at, ..)| now - at > site.guarantees.fall_for) {
+            self.sent.pop_front();
+        }
+        seen.used += work;
+        let all: f64 = self.sent.iter().map(|(_, work, _)| work).sum();
+        let informed: f64 = self.sent.iter().filter(|(.., told)| *told).map(|(_, work, _)| work).sum();
+        seen.most = seen.most.max(all / site.bears(age));
+        seen.most_informed = seen.most_informed.max(informed / site.bears(age));
+        if all > site.bears(age) {
+            self.fallen = true;
+            seen.fallen += 1;
+            seen.pushed_over += u64::from(informed > all * 2.0 / 3.0);
+        }
+    }
+}
+
+pub fn start_of(index: u64, site: &Site) -> Option<Seconds> {
+    (index < site.cold).then_some(START)
+}
--- /dev/null
+++ b/crates/decisions/tests/ramp/world.rs
@@ -0,0 +1,245 @@
+//! The nodes' events in virtual time.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+use hallpin_decisions::*;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::common::{entry, id, KEYED, READ};
+use crate::servers::{start_of, CacheServer, Seen};
+use crate::site::{Site, START};
+
+const DEADLINE: Seconds = 1.0;
+const BACKOFF: Seconds = 0.1;
+/// Share of writes.
+const WRITES: f64 = 0.05;
+/// Share of requests that are this many times as dear as the others.
+const DEAR: f64 = 0.03;
+const DEAR_TIMES: f64 = 10.0;
+
+enum What {
+    Asks,
+    Comes { key: u64, write: bool, work: f64, left: u32 },
+    Starts,
+    Told(usize),
+    Rings(usize, TimerToken),
+    Ends(usize, Outcome),
+    Fresh(usize),
+}
+
+struct Open {
+    key: u64,
+    write: bool,
+    work: f64,
+    left: u32,
+    sent: Vec<(usize, Seconds, bool)>,
+}
+
+struct World<'s> {
+    site: &'s Site,
+    now: Seconds,
+    rng: Pcg64Mcg,
+    events: BinaryHeap<Reverse<(u64, u64)>>,
+    what: BTreeMap<u64, What>,
+    next: u64,
+    nodes: Vec<Balancer>,
+    told: Vec<bool>,
+    servers: Vec<CacheServer>,
+    index: BTreeMap<ServerId, usize>,
+    open: BTreeMap<u64, Open>,
+    popular: Vec<f64>,
+    seen: Seen,
+}
+
+/// Plays a site's day.
+pub fn play(site: &Site, seed: u64) -> Seen {
+    let rank = |r: usize| (r as f64 + site.offset).powf(-site.zipf);
+    let mut sum = 0.0;
+    let popular = (0..site.keys)
+        .map(|r| {
+            sum += rank(r);
+            sum
+        })
+        .collect();
+    let mut world = World {
+        site,
+        now: 0.0,
+        rng: Pcg64Mcg::seed_from_u64(seed),
+        events: BinaryHeap::new(),
+        what: BTreeMap::new(),
+        next: 0,
+        nodes: Vec::new(),
+        told: vec![false; site.nodes as usize],
+        servers: (0..site.servers).map(|_| CacheServer::default()).collect(),
+        index: (0..site.servers).map(|n| (id(n), n as usize)).collect(),
+        open: BTreeMap::new(),
+        popular,
+        seen: Seen::default(),
+    };
+    for n in 0..site.nodes as usize {
+        world.nodes.push(Balancer::new(site.settings(), seed * 1000 + n as u64).expect("valid"));
+        world.list(n, false);
+        let at = START + world.rng.random::<f64>() * site.told_within;
+        world.at(at, What::Told(n));
+        if let Some(young) = site.young {
+            let before = young * world.rng.random::<f64>();
+            world.at(START - before, What::Fresh(n));
+        }
+    }
+    world.at(START, What::Starts);
+    world.at(0.0, What::Asks);
+    world.run();
+    let cold = site.cold as f64 * site.capacity * (site.length - START);
+    world.seen.used /= cold * (site.warmth(0.0) + site.warmth(site.length - START)) / 2.0;
+    world.seen
+}
+
+impl World<'_> {
+    fn at(&mut self, at: Seconds, what: What) {
+        self.next += 1;
+        self.events.push(Reverse(((at * 1e6) as u64, self.next)));
+        self.what.insert(self.next, what);
+    }
+
+    fn run(&mut self) {
+        while let Some(Reverse((at, number))) = self.events.pop() {
+            self.now = at as f64 / 1e6;
+            if self.now > self.site.length {
+                break;
+            }
+            match self.what.remove(&number).expect("each event once") {
+                What::Asks => self.asks(),
+                What::Comes { key, write, work, left } => self.comes(key, write, work, left),
+                What::Starts => {
+                    for of in 0..self.site.cold as usize {
+                        self.servers[of].start(self.now);
+                    }
+                }
+                What::Told(node) => {
+                    self.told[node] = true;
+                    self.list(node, true);
+                }
+                What::Rings(node, token) => self.tell(node, Event::Timer(token)),
+                What::Ends(node, outcome) => self.ends(node, outcome),
+                What::Fresh(node) => {
+                    let told = self.told[node];
+                    self.nodes[node] = Balancer::new(self.site.settings(), number).expect("valid");
+                    self.list(node, told);
+                }
+            }
+        }
+    }
+
+    fn list(&mut self, node: usize, anew: bool) {
+        let entries = (0..self.site.servers)
+            .map(|n| RosterEntry { started: start_of(n, self.site).filter(|_| anew), ..entry(n) });
+        let entries = entries.collect();
+        self.tell(node, Event::Roster(RosterNews::Full(entries)));
+    }
+
+    /// A client asks: Poisson arrivals, at any node.
+    fn asks(&mut self) {
+        let gap = -(1.0 - self.rng.random::<f64>()).ln() / self.site.rate();
+        self.at(self.now + gap, What::Asks);
+        let at = self.rng.random::<f64>() * self.popular[self.popular.len() - 1];
+        let key = self.popular.partition_point(|sum| *sum < at) as u64;
+        let dear = self.rng.random::<f64>() < DEAR;
+        let work = self.site.work * if dear { DEAR_TIMES } else { 1.0 } / (1.0 + DEAR * (DEAR_TIMES - 1.0));
+        let write = self.rng.random::<f64>() < WRITES;
+        self.seen.requests += 1;
+        self.comes(key, write, work, self.site.retries);
+    }
+
+    fn comes(&mut self, key: u64, write: bool, work: f64, left: u32) {
+        self.next += 1;
+        let request = self.next;
+        let node = (self.rng.random::<f64>() * self.nodes.len() as f64) as usize;
+        self.open.insert(request, Open { key, write, work, left, sent: Vec::new() });
+        let new = NewRequest {
+            id: RequestId(request),
+            left: DEADLINE,
+            class: Some(if write { KEYED } else { READ }),
+            tenant: None,
+            key: Some(Key(key)),
+            write,
+            work: self.site.hints.then_some(work),
+        };
+        self.tell(node, Event::Request(new));
+    }
+
+    fn tell(&mut self, node: usize, event: Event) {
+        let mut actions = Vec::new();
+        self.nodes[node].handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Send { request, server, timeout } => self.send(node, request, &server, timeout),
+                Action::SetTimer { token, after } => {
+                    self.at(self.now + after.max(1e-6), What::Rings(node, token))
+                }
+                Action::Refuse { request, .. } | Action::Fail(request) => self.again(request.0),
+                Action::Cancel { request, attempt } => self.cancel(node, request, attempt),
+                _ => {}
+            }
+        }
+    }
+
+    fn send(&mut self, node: usize, request: RequestId, server: &ServerId, timeout: Option<Seconds>) {
+        let Some(open) = self.open.get_mut(&request.0) else { return };
+        let of = self.index[server];
+        self.seen.sends += 1;
+        self.servers[of].weigh(self.site, self.now, open.work, self.told[node], &mut self.seen);
+        let (at, status, note) =
+            self.servers[of].take(self.site, self.now, open.key, open.work, open.write, &mut self.seen);
+        let attempt = AttemptId(open.sent.len() as u32);
+        open.sent.push((of, self.now, false));
+        let last = self.now + timeout.unwrap_or(DEADLINE);
+        let (at, status) = if at > last { (last, Status::TimedOut) } else { (at, status) };
+        let finished = status == Status::Success;
+        let outcome = Outcome {
+            request,
+            attempt,
+            status,
+            elapsed: at - self.now,
+            finished,
+            note: finished.then_some(note),
+        };
+        self.at(at, What::Ends(node, outcome));
+    }
+
+    fn ends(&mut self, node: usize, outcome: Outcome) {
+        let id = outcome.request.0;
+        if let Some(open) = self.open.get_mut(&id) {
+            if std::mem::replace(&mut open.sent[outcome.attempt.0 as usize].2, true) {
+                return;
+            }
+            if outcome.finished {
+                self.seen.served += 1;
+            }
+        }
+        self.tell(node, Event::Outcome(outcome));
+    }
+
+    fn cancel(&mut self, node: usize, request: RequestId, attempt: AttemptId) {
+        let Some(open) = self.open.get_mut(&request.0) else { return };
+        let Some((_, at, over)) = open.sent.get_mut(attempt.0 as usize) else { return };
+        if std::mem::replace(over, true) {
+            return;
+        }
+        let elapsed = self.now - *at;
+        let outcome =
+            Outcome { request, attempt, status: Status::Cancelled, elapsed, finished: false, note: None };
+        self.tell(node, Event::Outcome(outcome));
+    }
+
+    /// The client of a request that was turned away comes again, as another request.
+    fn again(&mut self, request: u64) {
+        let Some(open) = self.open.get(&request) else { return };
+        let Open { key, write, work, left, .. } = *open;
+        if left > 0 {
+            let wait = BACKOFF * (0.5 + self.rng.random::<f64>());
+            self.at(self.now + wait, What::Comes { key, write, work, left: left - 1 });
+        }
+    }
+}
