--- a/crates/decisions/tests/ramp/main.rs
+++ b/crates/decisions/tests/ramp/main.rs
@@ -57,7 +57,7 @@
 /// Each sees a few requests a second, and of a key that all ask for none sees that it is too much for its home.
 #[test]
 fn servers_that_warm_up_bear_what_300_thin_nodes_send() {
-    let site = Site { nodes: 300, servers: 60, cold: 36, load: 0.5, ..Site::default() };
+    let site = Site { nodes: 300, servers: 100, cold: 60, ..Site::default() };
     holds("usual", &site);
     holds("all restarted just before", &Site { young: Some(4.0), ..site });
 }
