Keep the buffers of the held-back write small enough for each run

The test of a write that blocks hung in 4 runs of 60: what filled the connection went on into the receiver's buffer afterwards, and on a lucky run the whole command followed it. The receiver's buffer is now small too, so that a large command cannot go out whole before the server reads.

--- a/crates/node/src/upstream/tests/last_byte.rs
+++ b/crates/node/src/upstream/tests/last_byte.rs
@@ -7,7 +7,7 @@
 
 use hallpin_decisions::{ServerId, Status};
 use tokio::io::AsyncReadExt;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{advance, timeout};
 
 use super::super::connection::Idle;
@@ -49,16 +49,19 @@
     seen
 }
 
-/// An upstream with one kept connection, the server's end of it, and so many bytes that are on their way: more than
-/// those the connection takes once the server has read some.
+/// An upstream with one kept connection, the server's end of it, and so many bytes that are on their way. Its buffers
+/// are too small for a large command to go out whole before the server reads.
 async fn full() -> (Rc<Upstream>, TcpStream, usize) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(16 * 1024).unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(1).unwrap();
     let upstream = upstream(LONG, 9);
     upstream.learn(&roster(&listener, "ready"));
     let now = Instant::now();
     let connection = upstream.connect(&server(), now + LONG).await.ok().unwrap();
     let peer = listener.accept().await.unwrap().0;
-    socket2::SockRef::from(&connection.stream).set_send_buffer_size(16 * 1024).unwrap();
+    socket2::SockRef::from(&connection.stream).set_send_buffer_size(8 * 1024).unwrap();
     let mut filled = 0;
     connection.stream.writable().await.unwrap();
     while let Ok(written) = connection.stream.try_write(&[b'x'; 4096]) {
