Cut a long value by its client's time and by the end of the process

Seen by reading: `Rest` (upstream/rest.rs, next) waited up to 10 s for a cache server that hangs in the middle of a long value, whatever its client's time, and after SIGTERM beyond the end of the process. The attempt's own time-out no longer holds there, as its answer counts as given with its first line.

Change: the value's wait is bounded by the request's deadline, and by the end of a process that stops, also where the stop begins in mid-value. The time for which it stood behind earlier answers is not counted. What is at hand goes out; a piece that would have to be read behind the bound ends the connection.

--- a/crates/node/src/driver/attempts.rs
+++ b/crates/node/src/driver/attempts.rs
@@ -66,6 +66,8 @@
                 runs: runs.clone(),
                 written: written.clone(),
                 gone: live.gone.clone(),
+                deadline: live.deadline,
+                phases: self.lifecycle.follow(),
             };
             let attempt_made = async move {
                 let ended = upstream.attempt(&server, &errand).await;
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -153,7 +153,7 @@
                 let served =
                     |rest| Ended { status: Status::Success, note, answer: Some(Served { text, rest }) };
                 if let Body::Long(length) = body {
-                    let rest = Rest::new(self.clone(), server.clone(), connection, buf, length);
+                    let rest = Rest::new(self.clone(), server.clone(), connection, buf, length, errand);
                     return served(Some(rest));
                 }
                 served(None)
--- a/crates/node/src/upstream/errand.rs
+++ b/crates/node/src/upstream/errand.rs
@@ -7,8 +7,10 @@
 
 use hallpin_decisions::{AttemptId, Status};
 use hallpin_protocol::Command;
+use tokio::sync::watch::Receiver;
 use tokio::time::Instant;
 
+use crate::lifecycle::Phase;
 use crate::message::Gone;
 
 /// Which attempts of one request were written whole and may have run, and when.
@@ -42,6 +44,9 @@
     /// Set once the last byte is written: from then on the command may have run.
     pub written: Rc<Cell<bool>>,
     pub gone: Gone,
+    /// When the client stops waiting, and when the process ends: a long value that is not whole by then is cut.
+    pub deadline: Instant,
+    pub phases: Receiver<Phase>,
 }
 
 impl Errand {
--- a/crates/node/src/upstream/rest.rs
+++ b/crates/node/src/upstream/rest.rs
@@ -6,11 +6,15 @@
 use bytes::{Bytes, BytesMut};
 use hallpin_decisions::ServerId;
 use tokio::io::AsyncReadExt;
+use tokio::sync::watch::Receiver;
 use tokio::time::{timeout_at, Instant};
 
 use super::connection::Connection;
+use super::errand::Errand;
 use super::pool::Upstream;
 use crate::budget::Held;
+use crate::lifecycle::Phase;
+
 /// Room for a read, so that a long value does not come in many small ones.
 pub(super) const READ_CHUNK: usize = 8 * 1024;
 /// A cache server that gives nothing of a value that is taken from it for this long will not go on.
@@ -33,6 +37,13 @@
     buf: BytesMut,
     /// Bytes of the value that have not been given.
     left: usize,
+    /// When its client stops waiting, and when this process ends.
+    deadline: Instant,
+    phases: Receiver<Phase>,
+    /// When its line came, and when its turn did: it may have stood behind earlier answers, and its client does not
+    /// count that time.
+    since: Instant,
+    turn: Option<Instant>,
     /// Since when more of it is waited for.
     asked: Option<Instant>,
     /// How long the server has been waited for in all, and what it gave meanwhile: together they bound a
@@ -55,13 +66,30 @@
         connection: Connection,
         buf: BytesMut,
         left: usize,
+        errand: &Errand,
     ) -> Self {
         let _held = Held::new(&upstream.budget, READ_CHUNK);
-        Rest { upstream, server, connection, buf, left, asked: None, waited: Duration::ZERO, given: 0, _held }
+        Rest {
+            upstream,
+            server,
+            connection,
+            buf,
+            left,
+            deadline: errand.deadline,
+            phases: errand.phases.clone(),
+            since: Instant::now(),
+            turn: None,
+            asked: None,
+            waited: Duration::ZERO,
+            given: 0,
+            _held,
+        }
     }
 
     /// The next piece, or `None` once the value is whole. Nothing is lost when the future is dropped.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Broken> {
+        let turn = *self.turn.get_or_insert_with(Instant::now);
+        let deadline = self.deadline + turn.saturating_duration_since(self.since);
         loop {
             let ready = self.left.min(self.buf.len());
             if ready > 0 {
@@ -74,11 +102,18 @@
             }
             let asked = *self.asked.get_or_insert_with(Instant::now);
             self.buf.reserve(READ_CHUNK);
-            let (cut, patience) = (self.connection.cut(), self.patience());
-            let read = timeout_at(asked + patience, self.connection.stream.read_buf(&mut self.buf));
+            let ends = self.phases.borrow_and_update().ends;
+            let by = (asked + self.patience()).min(deadline).min(ends.unwrap_or(deadline));
+            // Whatever has come by then: it would go on to nobody.
+            if by <= Instant::now() {
+                return Err(Broken);
+            }
+            let cut = self.connection.cut();
+            let read = timeout_at(by, self.connection.stream.read_buf(&mut self.buf));
             let read = tokio::select! {
                 biased;
                 () = cut => return Err(Broken),
+                Ok(()) = self.phases.changed() => continue,
                 read = read => read,
             };
             match read {
--- a/crates/node/src/upstream/tests.rs
+++ b/crates/node/src/upstream/tests.rs
@@ -1,5 +1,6 @@
 //! What the tests of the connections share.
 
+mod cut_values;
 mod last_byte;
 mod long_values;
 mod pooling;
@@ -18,6 +19,7 @@
 use crate::clock::Clock;
 use crate::config::{Limits, RESERVED};
 use crate::figures::Figures;
+use crate::lifecycle::Lifecycle;
 use crate::message::Gone;
 use crate::roster::Roster;
 
@@ -53,6 +55,8 @@
         runs: Rc::default(),
         written: Rc::default(),
         gone: Gone::default(),
+        deadline: Instant::now() + LONG * 10,
+        phases: Lifecycle::new().follow(),
     }
 }
 
