Pass over a second answer to the request before on a kept connection

Seen by reading: a kept connection rests for 5 ms (SETTLE) and is asked whether anything has come before it is written to. A second answer that comes later than that, some milliseconds behind the first, is read as the next request's: its foreign id makes it spoilt (upstream/attempt.rs, converse), and that request, which may have run, fails unless its class may be repeated. Its own answer was still to come.

Change: a connection remembers the id of its last answer. One whole answer under that id is passed over. Another foreign id, a second such answer or a long value end the attempt as before; a client that uses one id twice in a row is answered as before.

--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -131,8 +131,16 @@
         self.figures.upstream_request();
         // Not kept with the connection: it has the size of the largest answer.
         let mut buf = BytesMut::new();
+        let mut before = connection.last.take().filter(|last| *last != errand.command.opaque());
         let reply = loop {
             match protocol::next_reply(&mut buf) {
+                // A second answer to the request before, that came late: this one's own is still to come.
+                Ok(Some(Reply::Served { opaque, body: Body::Value(_) | Body::Receipt(_), .. }))
+                    if before.as_ref() == Some(&opaque) =>
+                {
+                    before = None;
+                    continue;
+                }
                 Ok(Some(reply)) => break reply,
                 Ok(None) => {}
                 Err(protocol::Malformed) => return SPOILT.into(),
@@ -150,6 +158,7 @@
                 let Some(text) = protocol::served(&errand.command, &opaque, &body) else {
                     return SPOILT.into();
                 };
+                connection.last = Some(opaque);
                 let served =
                     |rest| Ended { status: Status::Success, note, answer: Some(Served { text, rest }) };
                 if let Body::Long(length) = body {
--- a/crates/node/src/upstream/connection.rs
+++ b/crates/node/src/upstream/connection.rs
@@ -6,6 +6,7 @@
 use std::mem::MaybeUninit;
 use std::rc::Rc;
 
+use bytes::Bytes;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -50,6 +51,8 @@
     pub(super) stream: TcpStream,
     /// Its count in a budget, where there are budgets.
     pub(super) opened: Option<Opened>,
+    /// The id of its last answer, where that named one.
+    pub(super) last: Option<Bytes>,
     pub(super) _slot: Slot,
 }
 
--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -200,7 +200,7 @@
             stream = self.dial(address, until.min(Instant::now() + self.bounds.dial)) => stream?,
         };
         stream.set_nodelay(true).map_err(|_| Status::Unreachable)?;
-        Ok(Connection { stream, opened, _slot: slot })
+        Ok(Connection { stream, opened, last: None, _slot: slot })
     }
 
     async fn dial(&self, address: SocketAddr, until: Instant) -> Result<TcpStream, Status> {
--- a/crates/node/src/upstream/tests.rs
+++ b/crates/node/src/upstream/tests.rs
@@ -4,6 +4,7 @@
 mod last_byte;
 mod long_values;
 mod pooling;
+mod second_answers;
 
 use std::rc::Rc;
 use std::time::Duration;
