Give idle connections back where cache servers have no place for new ones

Change: `KeepAlive`: a new connection that is turned away with an end behind it halves the time for which the node keeps idle ones, and what is older goes at once; each new one that is served brings back a thousandth. Kept ones are looked at as often as that time wants.

Where nothing is turned away nothing changes. Tests: keep_alive.rs; without the halving idle_connections_are_given_back... fails with "assertion failed: !keeps_after(&[Turn::NoPlace; 2]).await".

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -32,7 +32,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::LocalSet;
-use tokio::time::{interval, sleep, Instant};
+use tokio::time::{sleep, Instant};
 use tracing::{error, info, warn};
 
 use budget::Budget;
@@ -54,8 +54,6 @@
 
 /// After SIGTERM connections may still come for 0.4 s.
 const STILL_COMING: Duration = Duration::from_millis(500);
-/// How often kept connections are looked at.
-const SWEEP: Duration = Duration::from_secs(1);
 
 async fn run(options: Options) -> Result<(), Failure> {
     // First of all: until then either of them ends the process.
@@ -124,9 +122,8 @@
     let mut driver = tokio::task::spawn_local(driver.run(inbox, lists));
     let swept = frontend.clone();
     tokio::task::spawn_local(async move {
-        let mut ticks = interval(SWEEP);
         loop {
-            ticks.tick().await;
+            sleep(upstream.sweep_after()).await;
             upstream.sweep();
             swept.shed();
         }
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod connection;
 mod errand;
+mod keep_alive;
 mod pool;
 mod rest;
 #[cfg(test)]
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -151,6 +151,13 @@
                 Ok(_) => {}
             }
         };
+        if connection.new.replace(false) {
+            if matches!(reply, Reply::Busy) && buf.is_empty() && connection.ended() {
+                self.no_place();
+            } else {
+                self.keep_alive.place();
+            }
+        }
         let ended = match reply {
             Reply::Busy => Status::Overloaded.into(),
             Reply::Failed => Status::Error.into(),
--- a/crates/node/src/upstream/connection.rs
+++ b/crates/node/src/upstream/connection.rs
@@ -53,10 +53,18 @@
     pub(super) opened: Option<Opened>,
     /// The id of its last answer, where that named one.
     pub(super) last: Option<Bytes>,
+    /// No answer has come on it.
+    pub(super) new: Cell<bool>,
     pub(super) _slot: Slot,
 }
 
 impl Connection {
+    /// Whether the peer has closed it, with nothing more to read.
+    pub(super) fn ended(&self) -> bool {
+        let peeked = socket2::SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
+        matches!(peeked, Ok(0))
+    }
+
     /// Waits until it has to be closed.
     pub(super) fn cut(&self) -> impl Future<Output = ()> {
         cut(self.opened.as_ref())
--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -11,6 +11,7 @@
 use tokio::time::{sleep_until, timeout_at, Instant};
 
 use super::connection::{cut, own_limit, Connection, Idle, Slot};
+use super::keep_alive::KeepAlive;
 use crate::budget::Budget;
 use crate::figures::Figures;
 use crate::plane::Fleet;
@@ -34,7 +35,7 @@
 pub(super) struct Endpoint {
     address: SocketAddr,
     /// From when on it may not be written to.
-    closes: Option<Instant>,
+    pub(super) closes: Option<Instant>,
     /// Kept connections, the last used at the end.
     pub(super) idle: Vec<Idle>,
 }
@@ -45,6 +46,7 @@
     pub(super) endpoints: RefCell<BTreeMap<ServerId, Endpoint>>,
     pub(super) budget: Rc<Budget>,
     pub(super) figures: Rc<Figures>,
+    pub(super) keep_alive: KeepAlive,
     /// Counts connections of each box, where there are budgets.
     fleet: OnceCell<Rc<Fleet>>,
 }
@@ -57,6 +59,7 @@
             endpoints: RefCell::default(),
             budget,
             figures,
+            keep_alive: KeepAlive::new(bounds.idle),
             fleet: OnceCell::new(),
         }
     }
@@ -126,11 +129,6 @@
         endpoints.get(server).is_some_and(|e| open(e) && Some(e.address) == address)
     }
 
-    /// Well before the peer closes: what is written to a connection just then ends as a reset.
-    fn fresh(&self, idle: &Idle) -> bool {
-        idle.since.elapsed() < self.bounds.idle.mul_f64(0.9) && idle.connection.quiet()
-    }
-
     /// Takes a kept connection: the last used of those that have been quiet for long enough, so that others
     /// grow old and are closed, or else the one that soonest will have been.
     pub(super) fn take_kept(&self, server: &ServerId) -> Option<Idle> {
@@ -161,27 +159,6 @@
         }
     }
 
-    /// Closes kept connections that are old, dead or lead to a server that leaves: they hold descriptors.
-    pub fn sweep(&self) {
-        let now = Instant::now();
-        let mut endpoints = self.endpoints.borrow_mut();
-        for endpoint in endpoints.values_mut() {
-            endpoint.idle.retain(|idle| self.fresh(idle));
-        }
-        endpoints.retain(|_, endpoint| endpoint.closes.is_none_or(|at| at > now));
-        drop(endpoints);
-        // Another process may have come to share the limits.
-        while self.open.get() > self.budget.servers() && self.close_oldest() {}
-    }
-
-    /// Closes the kept connection that was not used for the longest time.
-    pub fn close_oldest(&self) -> bool {
-        let mut endpoints = self.endpoints.borrow_mut();
-        let with = endpoints.values_mut().filter(|e| !e.idle.is_empty());
-        let oldest = with.min_by_key(|e| e.idle[0].since);
-        oldest.map(|e| e.idle.remove(0)).is_some()
-    }
-
     pub(super) async fn connect(&self, server: &ServerId, until: Instant) -> Result<Connection, Status> {
         let address = self.endpoints.borrow().get(server).map(|e| e.address).ok_or(Status::Unreachable)?;
         if self.open.get() >= self.budget.servers() && !self.close_oldest() {
@@ -200,7 +177,7 @@
             stream = self.dial(address, until.min(Instant::now() + self.bounds.dial)) => stream?,
         };
         stream.set_nodelay(true).map_err(|_| Status::Unreachable)?;
-        Ok(Connection { stream, opened, last: None, _slot: slot })
+        Ok(Connection { stream, opened, last: None, new: Cell::new(true), _slot: slot })
     }
 
     async fn dial(&self, address: SocketAddr, until: Instant) -> Result<TcpStream, Status> {
--- a/crates/node/src/upstream/tests.rs
+++ b/crates/node/src/upstream/tests.rs
@@ -1,6 +1,7 @@
 //! What the tests of the connections share.
 
 mod cut_values;
+mod keep_alive;
 mod last_byte;
 mod long_values;
 mod pooling;
@@ -15,6 +16,7 @@
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
+use super::keep_alive::KeepAlive;
 use super::{Bounds, Errand, Upstream};
 use crate::budget::Budget;
 use crate::clock::Clock;
