Close hurried connections without a timer's wait, or a crowd takes the reserved descriptors

Ruled out: the list (the node was ready), the cap on connections to servers (one open). Cause: closing.rs, `part`: a connection that is to make room lingered under a timeout of zero, which ends with the next turn of the timer at a millisecond at the least. For that long each was counted as asked to close while the clients came again, and the descriptors left for cache servers were gone.

Change: `hurry` ends sending, takes off what is there and closes, in one turn.

--- a/crates/node/src/frontend/closing.rs
+++ b/crates/node/src/frontend/closing.rs
@@ -52,12 +52,31 @@
     /// Ends the connection between requests. Where descriptors are short, by the budget or because the system gives
     /// no more, nobody is waited for.
     pub(super) async fn part(&mut self) {
-        let short = self.hurried || self.frontend.open.get() > self.frontend.budget.clients_wanted();
-        self.linger(if short { Duration::ZERO } else { LINGER }).await;
+        if self.hurried || self.frontend.open.get() > self.frontend.budget.clients_wanted() {
+            self.hurry().await;
+        } else {
+            self.linger().await;
+        }
+    }
+
+    /// Ends sending, and takes off what is there. Not for a timer's least time either: a crowd that comes again at
+    /// once takes more descriptors meanwhile than are left for cache servers.
+    async fn hurry(&mut self) {
+        if self.stream.shutdown().await.is_err() {
+            return;
+        }
+        let mut scrap = [0; 4096];
+        let mut left = LINGER_BYTES;
+        while left > 0 {
+            match (&*SockRef::from(&self.stream)).read(&mut scrap) {
+                Ok(read) if read > 0 => left = left.saturating_sub(read),
+                _ => return,
+            }
+        }
     }
 
     /// Ends sending, and takes what the client still sends for a while. Nothing of it goes on to anyone.
-    pub(super) async fn linger(&mut self, patience: Duration) {
+    pub(super) async fn linger(&mut self) {
         if self.stream.shutdown().await.is_err() {
             return;
         }
@@ -74,7 +93,7 @@
             }
         };
         tokio::select! {
-            _ = timeout(patience, drain) => {}
+            _ = timeout(LINGER, drain) => {}
             () = self.close.notified() => {}
         }
     }
--- a/crates/node/src/frontend/serve.rs
+++ b/crates/node/src/frontend/serve.rs
@@ -13,7 +13,7 @@
 use tokio::time::{sleep_until, Instant};
 
 use super::client::{Client, Pending};
-use super::closing::{peek, LINGER};
+use super::closing::peek;
 use super::commands::MAX_UNREAD;
 use super::shared::{Place, Rank};
 use crate::answer::Answer;
@@ -44,7 +44,7 @@
             // What comes while the last answers are on their way is left to its client.
             self.looked = parting && (self.looked || owes);
             if self.lost && !owes {
-                return self.linger(LINGER).await;
+                return self.linger().await;
             }
             if parting && !owes && (between || self.gives_up_part(&phase)) {
                 if self.nothing_came() {
