Give a long value whole that ends a little late, where it was cut at its client's time

Ruled out: closings of connections (no such line). Cause: rest.rs, `next`: a slow server was about to end its value; an answer up to half a second late only earns nothing, and one that the node itself breaks off is lost.

Change: the bound lies 0.4 s behind the deadline, within what is allowed; the end of the process binds as before.

--- a/crates/node/src/upstream/rest.rs
+++ b/crates/node/src/upstream/rest.rs
@@ -24,6 +24,10 @@
 /// longest value (4 MiB) this allows some four minutes of waiting.
 const LEAST_RATE: f64 = 16.0 * 1024.0;
 
+/// An answer that ends so much later than its client waits only earns nothing (half a second is allowed): what still
+/// comes is given. To cut it before would lose what a slow server was about to end.
+pub(super) const LATE: Duration = Duration::from_millis(400);
+
 /// The value has broken off, or does not end as it should.
 #[derive(Debug)]
 pub struct Broken;
@@ -89,7 +93,7 @@
     /// The next piece, or `None` once the value is whole. Nothing is lost when the future is dropped.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Broken> {
         let turn = *self.turn.get_or_insert_with(Instant::now);
-        let deadline = self.deadline + turn.saturating_duration_since(self.since);
+        let deadline = self.deadline + LATE + turn.saturating_duration_since(self.since);
         loop {
             let ready = self.left.min(self.buf.len());
             if ready > 0 {
