--- a/crates/node/src/discovery/manner.rs
+++ b/crates/node/src/discovery/manner.rs
@@ -12,8 +12,8 @@
 pub(super) struct Manner {
     /// From dialling to the end of the whole list: one time for both, as what comes after is as late whichever hung.
     pub whole: Duration,
-    /// How long a connection's first watch waits for news, and how long each later one.
-    pub first_wait: Duration,
+    /// How long a watch waits for news: all watches of a connection alike, as discovery counts silence by the wait of
+    /// a watch that goes on.
     pub wait: Duration,
     /// How much later than its wait a watch's answer may end.
     pub late: Duration,
@@ -39,27 +39,18 @@
         // least, answers of a busy machine would be taken for silence.
         let grace = Duration::from_secs_f64(drain_grace.clamp(0.1, 1.0));
         let part = |hundredths: u32| grace * hundredths / 100;
-        Manner {
-            whole: part(55),
-            first_wait: part(35),
-            wait: part(35),
-            late: part(25),
-            backoff: part(5),
-            max_backoff: part(10),
-        }
+        Manner { whole: part(55), wait: part(35), late: part(25), backoff: part(5), max_backoff: part(10) }
     }
 
     /// Where discovery is asked, each call takes part of a service that all nodes share; the balancer says when to call
     /// again. After a failed call a change counts as told 6 s after discovery could be reached, or four times the time
     /// to ask if that is less: a call that hangs, the balancer's wait and a call that succeeds fit into it. What a
     /// silent watch missed counts 2 s after its wait, or after those 6 s: the call after it has the rest of that time.
-    /// The first watch after a call that may have followed a failure waits within the 6 s itself.
     fn asked(ask_every: f64) -> Self {
         // Discovery may take a second for an answer.
         let told = Duration::from_secs_f64((4.0 * ask_every).clamp(3.0, 6.0));
         Manner {
             whole: told * 11 / 30,
-            first_wait: told / 2,
             wait: 20 * SECOND,
             late: told / 10,
             backoff: Duration::ZERO,
--- a/crates/node/src/discovery/mod.rs
+++ b/crates/node/src/discovery/mod.rs
@@ -128,16 +128,14 @@
 
     /// Follows the list on one connection until that fails.
     async fn follow(&self, address: SocketAddr) -> Result<Infallible, Failure> {
-        let Manner { whole, first_wait, wait: later, late, .. } = self.manner;
+        let Manner { whole, wait, late, .. } = self.manner;
         let (mut sender, _connection, mut revision) =
             timeout(whole, self.open(address)).await.map_err(silent)??;
-        let mut wait = first_wait;
         loop {
             let asked = Instant::now();
             let path = format!("/discovery/hosts?index={revision}&wait={}", wait.as_millis());
             let news = self.call(&mut sender, &path, Some(revision));
             revision = timeout(wait + late, news).await.map_err(silent)??;
-            wait = later;
             // A peer that answers at once whether it has news or not must not be asked without pause.
             sleep(PACE.saturating_sub(asked.elapsed())).await;
         }
