Cut a long value only where its server hangs

Change: behind the client's time the server is given up once it has given nothing for a second; the process's end binds as before.

--- a/crates/node/src/upstream/rest.rs
+++ b/crates/node/src/upstream/rest.rs
@@ -24,9 +24,9 @@
 /// longest value (4 MiB) this allows some four minutes of waiting.
 const LEAST_RATE: f64 = 16.0 * 1024.0;
 
-/// An answer that ends so much later than its client waits only earns nothing (half a second is allowed): what still
-/// comes is given. To cut it before would lose what a slow server was about to end.
-pub(super) const LATE: Duration = Duration::from_millis(400);
+/// Behind its client's time a server that has given nothing for so long will not go on. One that still gives, however
+/// slowly, is not cut: the node would lose what the server was about to end.
+pub(super) const HANGS: Duration = Duration::from_secs(1);
 
 /// The value has broken off, or does not end as it should.
 #[derive(Debug)]
@@ -93,7 +93,7 @@
     /// The next piece, or `None` once the value is whole. Nothing is lost when the future is dropped.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Broken> {
         let turn = *self.turn.get_or_insert_with(Instant::now);
-        let deadline = self.deadline + LATE + turn.saturating_duration_since(self.since);
+        let deadline = self.deadline + turn.saturating_duration_since(self.since);
         loop {
             let ready = self.left.min(self.buf.len());
             if ready > 0 {
@@ -107,7 +107,8 @@
             let asked = *self.asked.get_or_insert_with(Instant::now);
             self.buf.reserve(READ_CHUNK);
             let ends = self.phases.borrow_and_update().ends;
-            let by = (asked + self.patience()).min(deadline).min(ends.unwrap_or(deadline));
+            let by = (asked + self.patience()).min(deadline.max(asked + HANGS));
+            let by = ends.map_or(by, |ends| by.min(ends));
             // Whatever has come by then: it would go on to nobody.
             if by <= Instant::now() {
                 return Err(Broken);
