Keep what must not run twice off connections where a second busy may come

Seen by reading: `SERVER_ERROR busy` has no id. A second one that comes later than the 5 ms of rest (pool.rs, SETTLE) is read as the answer to the next command on the kept connection (attempt.rs, converse), as proof that it never ran: an unsafe command then goes out again though the server runs it, and a keyed one's window runs anew. The shift goes on: the command's own answer comes later, and where that is `busy` too it stands for the one after.

Change: a connection knows whether an answer without an id can only be the next command's own. After one such it is so when 250 ms have been quiet; after a second within that time, once an answer has named its command, as answers follow their commands' order. Commands of a class that may be repeated at any time use the connection as before; others take one that is sure, or a new one. A connection remembers its last command's id whatever the answer, so that an answer which a second `busy` overtook is passed over. Probes that are told no count as without an id.

Result: three tests.

--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -51,7 +51,7 @@
     pub async fn probe(&self, server: &ServerId) -> Status {
         let until = Instant::now() + self.bounds.dial * 2;
         let asked = async {
-            let mut connection = self.open(server, until).await?;
+            let mut connection = self.open(server, until, false).await?;
             let broken = |_| Status::Broken;
             connection.stream.write_all(protocol::PROBE).await.map_err(broken)?;
             let mut buf = BytesMut::new();
@@ -63,6 +63,7 @@
                     Err(protocol::Malformed) => return Err(SPOILT),
                 }
             };
+            connection.answered(ready);
             if buf.is_empty() {
                 self.keep(server, connection);
             }
@@ -75,7 +76,7 @@
     /// One attempt. Dropping the future closes the connection, which gives the attempt up.
     pub async fn attempt(self: &Rc<Self>, server: &ServerId, errand: &Errand) -> Ended {
         // What may not be written by then need not come up later either.
-        let connection = match self.open(server, errand.latest()).await {
+        let connection = match self.open(server, errand.latest(), errand.repeats.is_some()).await {
             Ok(connection) => connection,
             Err(status) => return status.into(),
         };
@@ -131,7 +132,8 @@
         self.figures.upstream_request();
         // Not kept with the connection: it has the size of the largest answer.
         let mut buf = BytesMut::new();
-        let mut before = connection.last.take().filter(|last| *last != errand.command.opaque());
+        let own = Bytes::copy_from_slice(&errand.command.opaque());
+        let mut before = connection.last.replace(own.clone()).filter(|last| *last != own);
         let reply = loop {
             match protocol::next_reply(&mut buf) {
                 // A second answer to the request before, that came late: this one's own is still to come.
@@ -158,6 +160,7 @@
                 self.keep_alive.place();
             }
         }
+        connection.answered(matches!(reply, Reply::Served { .. }));
         let ended = match reply {
             Reply::Busy => Status::Overloaded.into(),
             Reply::Failed => Status::Error.into(),
@@ -165,7 +168,6 @@
                 let Some(text) = protocol::served(&errand.command, &opaque, &body) else {
                     return SPOILT.into();
                 };
-                connection.last = Some(opaque);
                 let served =
                     |rest| Ended { status: Status::Success, note, answer: Some(Served { text, rest }) };
                 if let Body::Long(length) = body {
--- a/crates/node/src/upstream/connection.rs
+++ b/crates/node/src/upstream/connection.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use tokio::net::TcpStream;
@@ -20,6 +21,10 @@
         || matches!(error.kind(), AddrInUse | AddrNotAvailable | OutOfMemory | ResourceBusy)
 }
 
+/// So long after an answer that names no id the same may come once more. Much more than the milliseconds that a
+/// second answer takes: for what it would pass off as never run there are other connections.
+pub(super) const ECHO: Duration = Duration::from_millis(250);
+
 /// A place among the open connections, taken before connecting and given back when dropped.
 pub(super) struct Slot(Rc<Cell<usize>>);
 
@@ -51,14 +56,33 @@
     pub(super) stream: TcpStream,
     /// Its count in a budget, where there are budgets.
     pub(super) opened: Option<Opened>,
-    /// The id of its last answer, where that named one.
+    /// The id of its last command, of which an answer may still come.
     pub(super) last: Option<Bytes>,
+    /// From when on an answer that names no id can only be the next command's own; `None` until one that does name
+    /// its id has come, as answers follow the order of their commands.
+    sure: Option<Instant>,
     /// No answer has come on it.
     pub(super) new: Cell<bool>,
     pub(super) _slot: Slot,
 }
 
 impl Connection {
+    pub(super) fn new(stream: TcpStream, opened: Option<Opened>, slot: Slot) -> Self {
+        let sure = Some(Instant::now());
+        Connection { stream, opened, last: None, sure, new: Cell::new(true), _slot: slot }
+    }
+
+    /// An answer has come, which names its command or may be a second one to the command before.
+    pub(super) fn answered(&mut self, named: bool) {
+        let now = Instant::now();
+        self.sure = if named { Some(now) } else { self.is_sure().then(|| now + ECHO) };
+    }
+
+    /// Whether an answer without an id would be the next command's own.
+    pub(super) fn is_sure(&self) -> bool {
+        self.sure.is_some_and(|from| from <= Instant::now())
+    }
+
     /// Whether the peer has closed it, with nothing more to read.
     pub(super) fn ended(&self) -> bool {
         let peeked = socket2::SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -130,19 +130,21 @@
     }
 
     /// Takes a kept connection: the last used of those that have been quiet for long enough, so that others
-    /// grow old and are closed, or else the one that soonest will have been.
-    pub(super) fn take_kept(&self, server: &ServerId) -> Option<Idle> {
+    /// grow old and are closed, or else the one that soonest will have been. Where it matters whether a command ran,
+    /// only one on which `busy` is sure to be its own answer.
+    pub(super) fn take_kept(&self, server: &ServerId, sure: bool) -> Option<Idle> {
         let mut endpoints = self.endpoints.borrow_mut();
         let idle = &mut endpoints.get_mut(server)?.idle;
-        let settled = idle.partition_point(|idle| idle.since.elapsed() >= SETTLE);
-        let taken = (!idle.is_empty()).then(|| idle.remove(settled.saturating_sub(1)))?;
+        let fit = |idle: &Idle| !sure || idle.connection.is_sure();
+        let settled = idle.iter().rposition(|idle| fit(idle) && idle.since.elapsed() >= SETTLE);
+        let taken = idle.remove(settled.or_else(|| idle.iter().position(fit))?);
         taken.connection.set_busy(true);
         Some(taken)
     }
 
-    pub(super) async fn kept(&self, server: &ServerId) -> Option<Connection> {
+    pub(super) async fn kept(&self, server: &ServerId, sure: bool) -> Option<Connection> {
         loop {
-            let idle = self.take_kept(server)?;
+            let idle = self.take_kept(server, sure)?;
             sleep_until(idle.since + SETTLE).await;
             if self.fresh(&idle) && !idle.connection.is_cut() {
                 return Some(idle.connection);
@@ -177,7 +179,7 @@
             stream = self.dial(address, until.min(Instant::now() + self.bounds.dial)) => stream?,
         };
         stream.set_nodelay(true).map_err(|_| Status::Unreachable)?;
-        Ok(Connection { stream, opened, last: None, new: Cell::new(true), _slot: slot })
+        Ok(Connection::new(stream, opened, slot))
     }
 
     async fn dial(&self, address: SocketAddr, until: Instant) -> Result<TcpStream, Status> {
@@ -192,8 +194,13 @@
     }
 
     /// A connection on which this server may be written to now.
-    pub(super) async fn open(&self, server: &ServerId, until: Instant) -> Result<Connection, Status> {
-        let connection = match self.kept(server).await {
+    pub(super) async fn open(
+        &self,
+        server: &ServerId,
+        until: Instant,
+        sure: bool,
+    ) -> Result<Connection, Status> {
+        let connection = match self.kept(server, sure).await {
             Some(connection) => connection,
             None => self.connect(server, until).await?,
         };
--- a/crates/node/src/upstream/tests/pooling.rs
+++ b/crates/node/src/upstream/tests/pooling.rs
@@ -99,14 +99,14 @@
         upstream.endpoints.borrow_mut().get_mut(&server).unwrap().idle.push(Idle { connection, since })
     };
     keep(connection, now);
-    let connection = upstream.kept(&server).await.expect("it has been quiet");
+    let connection = upstream.kept(&server, true).await.expect("it has been quiet");
     assert!(now.elapsed() >= SETTLE, "it had only just answered");
     peer.write_all(b"more").await.unwrap();
     while connection.quiet() {
         tokio::task::yield_now().await;
     }
     keep(connection, now);
-    assert!(upstream.kept(&server).await.is_none(), "it has said more");
+    assert!(upstream.kept(&server, true).await.is_none(), "it has said more");
     assert_eq!(upstream.open.get(), 0);
 }
 
--- a/crates/node/src/upstream/tests/second_answers.rs
+++ b/crates/node/src/upstream/tests/second_answers.rs
@@ -3,6 +3,7 @@
 use hallpin_decisions::{ServerId, Status};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
+use super::super::connection::ECHO;
 use super::super::Ended;
 use super::*;
 
@@ -54,3 +55,76 @@
     let ended = second_answered(&"x".repeat(hallpin_protocol::MAX_LINE + 2)).await;
     assert!(ended.answer.is_none() && ended.status == Status::Unknown, "{ended:?}");
 }
+
+const BUSY: &str = "SERVER_ERROR busy\r\n";
+
+/// Reads of these ids over one connection, with what comes for each, and then, so long after the last, a command
+/// that must not run twice. The server runs that one too; on the same connection a second `busy` comes ahead of its
+/// answer, from one of the reads before.
+async fn unsafe_after(reads: &[(&str, &str)], rest: Duration) -> Ended {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let upstream = upstream(LONG, 9);
+    upstream.learn(&roster(&listener, "ready"));
+    let server = ServerId("s".into());
+    let mut kept = None;
+    for (id, answer) in reads {
+        let errand = errand(&format!("mg k v O{id} Pc=read,d=60000\r\n"));
+        let peer = async {
+            let mut stream = match kept.take() {
+                Some(stream) => stream,
+                None => listener.accept().await.unwrap().0,
+            };
+            assert!(stream.read(&mut [0; 256]).await.unwrap() > 0, "the connection is used again");
+            stream.write_all(answer.as_bytes()).await.unwrap();
+            stream
+        };
+        kept = Some(tokio::join!(upstream.attempt(&server, &errand), peer).1);
+    }
+    tokio::time::advance(rest).await;
+    let mut kept = kept.unwrap();
+    let once = Errand { repeats: Some(Duration::ZERO), ..errand("ms k 1 Oz Pc=put,d=60000\r\nv\r\n") };
+    let mut seen = [0; 256];
+    let peer = async {
+        let (mut stream, text) = tokio::select! {
+            read = kept.read(&mut seen) => {
+                assert!(read.unwrap() > 0, "used again or left");
+                (kept, format!("{BUSY}HD Oz c1\r\n"))
+            }
+            new = listener.accept() => (new.unwrap().0, "HD Oz c1\r\n".into()),
+        };
+        stream.write_all(text.as_bytes()).await.unwrap();
+        stream
+    };
+    tokio::join!(upstream.attempt(&server, &once), peer).0
+}
+
+/// A second `busy` has no id: what may not run twice does not wait for its answer where one may still come, as it
+/// would be told that it never ran, and go out again.
+#[tokio::test(start_paused = true)]
+async fn a_second_busy_is_no_word_on_what_must_not_run_twice() {
+    assert_eq!(unsafe_after(&[("a", BUSY)], Duration::ZERO).await.status, Status::Success);
+    // One `busy` may have stood for the other, so that the other's own is still to come, however late.
+    let status = unsafe_after(&[("a", BUSY), ("b", BUSY)], ECHO * 9).await.status;
+    assert_eq!(status, Status::Success);
+    // Nor where a failure has come twice.
+    let failed = "SERVER_ERROR failed\r\n";
+    let status = unsafe_after(&[("a", failed), ("b", failed)], ECHO * 9).await.status;
+    assert_eq!(status, Status::Success);
+}
+
+/// It is used again for them once it has been quiet, or an answer has come that names its command: all before that
+/// one were given by then.
+#[tokio::test(start_paused = true)]
+async fn a_busy_is_believed_where_it_can_only_be_the_commands_own() {
+    assert_eq!(unsafe_after(&[("a", BUSY)], ECHO).await.status, Status::Overloaded);
+    let named = [("a", BUSY), ("b", BUSY), ("c", "VA 1 Oc\r\n1\r\n")];
+    assert_eq!(unsafe_after(&named, Duration::ZERO).await.status, Status::Overloaded);
+}
+
+/// A read that was told `busy` in place of the one before it: its own answer comes ahead of the next one's.
+#[tokio::test(start_paused = true)]
+async fn an_answer_that_a_second_busy_overtook_does_not_spoil_the_next() {
+    let late = [("a", BUSY), ("b", BUSY), ("c", "VA 1 Ob\r\n1\r\nVA 1 Oc\r\n1\r\n")];
+    // On a connection that has been given up the next command would not be the fourth there.
+    assert_eq!(unsafe_after(&late, Duration::ZERO).await.status, Status::Overloaded);
+}
