Learn how long each cache server lets a connection stand idle

Seen by reading: connections are kept for 0.9 of the idle time in the settings. A server that closes sooner closes some of them just as a command is written; that is a reset, and what may not run twice fails (keep_alive.rs, fresh). Three more faults lay beside it. pool.rs, keep: a connection taken and put back unused (its client gone, its server's grace over) counted as fresh, though its server's clock ran on. rest.rs, finish: so did one whose long value a slow client had taken, though the server may have given all of it long before. attempt.rs, converse: a server without a place for a new connection was known by an end that is there with its `busy`, looked at once; an end a moment later was not counted. Ruled out: anything in the peek itself (one peek now serves both looks).

Change: a server's end of the kept connection that was idle for longest bounds how long others to that server are kept: its age less the time between two looks, at most halved at a time; new connections bring it back by a hundredth each, as it may have been another kind of end. Ends within a look's time behind an answer tell nothing of idle times; behind the one `busy` of a new connection they tell that there was no place. A connection is idle from the first line of its last answer, whoever held it since.

--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -9,7 +9,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::{timeout_at, Instant};
 
-use super::connection::Connection;
+use super::connection::{Connection, Place};
 use super::errand::Errand;
 use super::pool::Upstream;
 use super::rest::{Rest, READ_CHUNK};
@@ -153,11 +153,14 @@
                 Ok(_) => {}
             }
         };
-        if connection.new.replace(false) {
-            if matches!(reply, Reply::Busy) && buf.is_empty() && connection.ended() {
-                self.no_place();
-            } else {
-                self.keep_alive.place();
+        match connection.place {
+            Place::Given => {}
+            Place::Unknown if matches!(reply, Reply::Busy) && buf.is_empty() => {
+                connection.place = Place::TurnedAway;
+            }
+            Place::Unknown | Place::TurnedAway => {
+                connection.place = Place::Given;
+                self.placed(server);
             }
         }
         connection.answered(matches!(reply, Reply::Served { .. }));
@@ -177,7 +180,9 @@
                 served(None)
             }
         };
-        if buf.is_empty() {
+        if connection.no_place() {
+            self.no_place();
+        } else if buf.is_empty() {
             self.keep(server, connection);
         }
         ended
--- a/crates/node/src/upstream/connection.rs
+++ b/crates/node/src/upstream/connection.rs
@@ -52,6 +52,26 @@
     }
 }
 
+/// What a connection shows on which nothing is asked.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) enum Peeked {
+    Quiet,
+    /// The peer has closed it, with nothing more to read.
+    Ended,
+    /// The peer has said something unasked, or it is broken.
+    Spoilt,
+}
+
+/// Whether its server had a place for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Place {
+    /// No answer has come on it.
+    Unknown,
+    /// Its one answer was `busy`: that of a server without a place, if an end follows.
+    TurnedAway,
+    Given,
+}
+
 pub(super) struct Connection {
     pub(super) stream: TcpStream,
     /// Its count in a budget, where there are budgets.
@@ -61,20 +81,23 @@
     /// From when on an answer that names no id can only be the next command's own; `None` until one that does name
     /// its id has come, as answers follow the order of their commands.
     sure: Option<Instant>,
-    /// No answer has come on it.
-    pub(super) new: Cell<bool>,
+    /// Since when its server may count it as idle.
+    pub(super) used: Instant,
+    pub(super) place: Place,
     pub(super) _slot: Slot,
 }
 
 impl Connection {
     pub(super) fn new(stream: TcpStream, opened: Option<Opened>, slot: Slot) -> Self {
-        let sure = Some(Instant::now());
-        Connection { stream, opened, last: None, sure, new: Cell::new(true), _slot: slot }
+        let now = Instant::now();
+        let (sure, place) = (Some(now), Place::Unknown);
+        Connection { stream, opened, last: None, sure, used: now, place, _slot: slot }
     }
 
     /// An answer has come, which names its command or may be a second one to the command before.
     pub(super) fn answered(&mut self, named: bool) {
         let now = Instant::now();
+        self.used = now;
         self.sure = if named { Some(now) } else { self.is_sure().then(|| now + ECHO) };
     }
 
@@ -83,10 +106,18 @@
         self.sure.is_some_and(|from| from <= Instant::now())
     }
 
-    /// Whether the peer has closed it, with nothing more to read.
-    pub(super) fn ended(&self) -> bool {
-        let peeked = socket2::SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
-        matches!(peeked, Ok(0))
+    /// What its peer has done unasked. The kernel is asked, as the runtime may not have heard yet.
+    pub(super) fn peek(&self) -> Peeked {
+        match socket2::SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
+            Ok(0) => Peeked::Ended,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Peeked::Quiet,
+            _ => Peeked::Spoilt,
+        }
+    }
+
+    /// Whether its server has turned its first command away and closed it, in want of a place.
+    pub(super) fn no_place(&self) -> bool {
+        self.place == Place::TurnedAway && self.peek() == Peeked::Ended
     }
 
     /// Waits until it has to be closed.
@@ -109,16 +140,10 @@
             opened.mark.set_busy(busy);
         }
     }
-
-    /// Whether the peer has neither closed it nor said anything unasked. The kernel is asked, as the
-    /// runtime may not have heard yet.
-    pub(super) fn quiet(&self) -> bool {
-        let peeked = socket2::SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
-        matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
-    }
 }
 
 pub(super) struct Idle {
     pub(super) connection: Connection,
+    /// Since when it is kept: it has been quiet for no longer.
     pub(super) since: Instant,
 }
--- a/crates/node/src/upstream/keep_alive.rs
+++ b/crates/node/src/upstream/keep_alive.rs
@@ -1,13 +1,15 @@
 //! For how long a kept connection may stand idle: as long as cache servers keep it, and less where they are short of
-//! places for new ones. Nobody tells a node how many a server holds; it shows in new ones that are turned away.
+//! places for new ones. Nobody tells a node how many a server holds; it shows in new ones that are turned away. A
+//! server that closes sooner than the settings say shows it too, in the ends of those that stood idle longest.
 
 use std::cell::Cell;
 use std::time::Duration;
 
+use hallpin_decisions::ServerId;
 use tokio::time::Instant;
 
-use super::connection::Idle;
-use super::pool::Upstream;
+use super::connection::{Idle, Peeked};
+use super::pool::{Endpoint, Upstream};
 
 /// How often kept connections are looked at.
 const SWEEP: Duration = Duration::from_secs(1);
@@ -20,6 +22,31 @@
 /// connections may be turned away where the whole time is kept, and one in 50 where a tenth is.
 const GROWTH: f64 = 0.001;
 
+/// Part by which the time that one server's closes have told grows with each new connection to it: what closed them
+/// may have been no idle time, or it may have changed.
+const REGROWTH: f64 = 0.01;
+
+/// For how long one server lets a connection stand idle, as far as its closes have told.
+pub(super) struct IdleClose(Cell<Duration>);
+
+impl Default for IdleClose {
+    fn default() -> Self {
+        IdleClose(Cell::new(Duration::MAX))
+    }
+}
+
+impl IdleClose {
+    /// It has closed one that had stood idle for so long, and not yet for so long less `gap`.
+    fn closed(&self, idle: Duration, gap: Duration, longest: Duration) {
+        let before = self.0.get().min(longest);
+        self.0.set(before.min((idle.saturating_sub(gap)).mul_f64(AHEAD).max(before.mul_f64(CUT))));
+    }
+
+    fn placed(&self) {
+        self.0.set(self.0.get().saturating_add(self.0.get().mul_f64(REGROWTH)));
+    }
+}
+
 pub(super) struct KeepAlive {
     longest: Duration,
     share: Cell<f64>,
@@ -47,8 +74,39 @@
 }
 
 impl Upstream {
-    pub(super) fn fresh(&self, idle: &Idle) -> bool {
-        idle.since.elapsed() < self.keep_alive.time() && idle.connection.quiet()
+    /// Whether a connection taken out of the kept ones may be used.
+    pub(super) fn fresh(&self, server: &ServerId, idle: &Idle) -> bool {
+        let endpoints = self.endpoints.borrow();
+        let Some(Endpoint { idle: others, idle_close, .. }) = endpoints.get(server) else { return false };
+        let oldest = others.iter().all(|other| other.connection.used >= idle.connection.used);
+        self.lasts(idle, oldest, idle_close)
+    }
+
+    /// Whether a kept connection may stay, and what its end tells. An idle time ends the oldest first.
+    fn lasts(&self, idle: &Idle, oldest: bool, idle_close: &IdleClose) -> bool {
+        let age = idle.connection.used.elapsed();
+        if age >= self.keep_alive.time().min(idle_close.0.get()) {
+            return false;
+        }
+        let peeked = idle.connection.peek();
+        if peeked == Peeked::Ended {
+            // It was looked at so long ago: what ended before that ended right behind its answer.
+            let gap = self.sweep_after();
+            if age > gap && oldest {
+                idle_close.closed(age, gap, self.keep_alive.longest);
+            } else if age <= gap && idle.connection.no_place() {
+                self.keep_alive.no_place();
+            }
+        }
+        peeked == Peeked::Quiet
+    }
+
+    /// A server had a place for a new connection.
+    pub(super) fn placed(&self, server: &ServerId) {
+        self.keep_alive.place();
+        if let Some(endpoint) = self.endpoints.borrow().get(server) {
+            endpoint.idle_close.placed();
+        }
     }
 
     /// Where a server had no place for a new connection, idle ones are given back at once.
@@ -56,7 +114,7 @@
         self.keep_alive.no_place();
         let time = self.keep_alive.time();
         for endpoint in self.endpoints.borrow_mut().values_mut() {
-            endpoint.idle.retain(|idle| idle.since.elapsed() < time);
+            endpoint.idle.retain(|idle| idle.connection.used.elapsed() < time);
         }
     }
 
@@ -70,7 +128,9 @@
         let now = Instant::now();
         let mut endpoints = self.endpoints.borrow_mut();
         for endpoint in endpoints.values_mut() {
-            endpoint.idle.retain(|idle| self.fresh(idle));
+            let Endpoint { idle, idle_close, .. } = endpoint;
+            let oldest = idle.iter().map(|idle| idle.connection.used).min();
+            idle.retain(|idle| self.lasts(idle, Some(idle.connection.used) == oldest, idle_close));
         }
         endpoints.retain(|_, endpoint| endpoint.closes.is_none_or(|at| at > now));
         drop(endpoints);
--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -11,7 +11,7 @@
 use tokio::time::{sleep_until, timeout_at, Instant};
 
 use super::connection::{cut, own_limit, Connection, Idle, Slot};
-use super::keep_alive::KeepAlive;
+use super::keep_alive::{IdleClose, KeepAlive};
 use crate::budget::Budget;
 use crate::figures::Figures;
 use crate::plane::Fleet;
@@ -38,6 +38,13 @@
     pub(super) closes: Option<Instant>,
     /// Kept connections, the last used at the end.
     pub(super) idle: Vec<Idle>,
+    pub(super) idle_close: IdleClose,
+}
+
+impl Endpoint {
+    fn new(address: SocketAddr) -> Self {
+        Endpoint { address, closes: None, idle: Vec::new(), idle_close: IdleClose::default() }
+    }
 }
 
 pub struct Upstream {
@@ -104,10 +111,11 @@
             if member.entry.state != ServerState::Ready && !endpoints.contains_key(&member.entry.server) {
                 continue;
             }
-            let new = || Endpoint { address: member.address, closes: None, idle: Vec::new() };
+            let new = || Endpoint::new(member.address);
             let endpoint = endpoints.entry(member.entry.server.clone()).or_insert_with(new);
             if endpoint.address != member.address {
-                (endpoint.address, endpoint.idle) = (member.address, Vec::new());
+                let closes = endpoint.closes;
+                *endpoint = Endpoint { closes, ..Endpoint::new(member.address) };
                 moved.push(member.entry.server.clone());
             }
             if member.entry.state == ServerState::Ready {
@@ -146,7 +154,7 @@
         loop {
             let idle = self.take_kept(server, sure)?;
             sleep_until(idle.since + SETTLE).await;
-            if self.fresh(&idle) && !idle.connection.is_cut() {
+            if self.fresh(server, &idle) && !idle.connection.is_cut() {
                 return Some(idle.connection);
             }
         }
--- a/crates/node/src/upstream/tests/keep_alive.rs
+++ b/crates/node/src/upstream/tests/keep_alive.rs
@@ -55,7 +55,7 @@
     assert_eq!(kept(&upstream), 1);
     let third = LONG / 3;
     upstream.endpoints.borrow_mut().values_mut().for_each(|endpoint| {
-        endpoint.idle.iter_mut().for_each(|idle| idle.since -= third);
+        endpoint.idle.iter_mut().for_each(|idle| idle.connection.used -= third);
     });
     upstream.sweep();
     kept(&upstream) == 1
@@ -78,7 +78,7 @@
     let (served, _stream) = attempt(&upstream, &listener, Turn::Serve).await;
     assert_eq!(served, Status::Success);
     upstream.endpoints.borrow_mut().values_mut().for_each(|endpoint| {
-        endpoint.idle.iter_mut().for_each(|idle| idle.since -= LONG / 2);
+        endpoint.idle.iter_mut().for_each(|idle| idle.connection.used -= LONG / 2);
     });
     upstream.no_place();
     assert_eq!(kept(&upstream), 0);
--- a/crates/node/src/upstream/tests/pooling.rs
+++ b/crates/node/src/upstream/tests/pooling.rs
@@ -6,7 +6,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::Instant;
 
-use super::super::connection::{own_limit, Idle};
+use super::super::connection::{own_limit, Idle, Peeked};
 use super::super::pool::SETTLE;
 use super::*;
 
@@ -102,7 +102,7 @@
     let connection = upstream.kept(&server, true).await.expect("it has been quiet");
     assert!(now.elapsed() >= SETTLE, "it had only just answered");
     peer.write_all(b"more").await.unwrap();
-    while connection.quiet() {
+    while connection.peek() == Peeked::Quiet {
         tokio::task::yield_now().await;
     }
     keep(connection, now);
