Leave a round of the grace of a server that drains, as of a window

Seen by reading: a window for repeats is held to a round less than the settings say (driver/attempts.rs, repeats), as what is written takes its time to arrive. A drain's grace was held to the instant at the write (pool.rs, learn): the first byte of an attempt whose connection came up in the last millisecond arrived behind it, and nothing but the protocol's slack stood between. Ruled out: the module, which sends nothing new once it knows of the drain.

Change: the driver tells the connections the settings' round, and the time in which a server that leaves may be written to ends so much earlier.

Result: two rows in nothing_is_written_to_a_draining_server_past_the_grace and a test of the driver.

--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -29,6 +29,8 @@
 impl Driver {
     pub fn new(settings: &Settings, seed: u64, around: Around) -> Result<Self, SettingsError> {
         let Around { clock, upstream, messages, calls, lifecycle, figures, fleet } = around;
+        let round = Duration::from_secs_f64(settings.round);
+        upstream.rounds(round);
         Ok(Driver {
             balancer: Balancer::new(settings.clone(), seed)?,
             clock,
@@ -36,7 +38,7 @@
             max_attempts: settings.limits.max_attempts as usize,
             repeats: attempts::repeats(settings),
             retry_after: settings.limits.retry_after,
-            round: Duration::from_secs_f64(settings.round),
+            round,
             longest: duration(settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max)),
             upstream,
             timers: BinaryHeap::new(),
--- a/crates/node/src/driver/tests.rs
+++ b/crates/node/src/driver/tests.rs
@@ -12,6 +12,7 @@
 use crate::lifecycle::Lifecycle;
 use crate::message::Gone;
 use crate::stop::Stop;
+use crate::upstream::tests::{errand, READ};
 use crate::upstream::{Bounds, Upstream};
 use hallpin_protocol::{next_input, Input};
 use tokio::net::TcpListener;
@@ -186,3 +187,21 @@
         matches!(driver.events.make_contiguous(), [Event::Outcome(o)] if o.status == Status::Cancelled && o.finished)
     );
 }
+
+/// A server's grace is held to at its arrival there: a round of it is left.
+#[tokio::test]
+async fn the_driver_leaves_a_round_of_a_servers_grace() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (mut driver, _inbox, server) = driver(&Settings { round: 1.0, ..settings() }, address);
+    let member = format!(r#"{{"id":"s","host_port":"{address}","phase":"draining"}}"#);
+    let list = format!(r#"{{"revision":2,"complete":false,"members":[{member}]}}"#);
+    driver.known(Roster::from_json(list.as_bytes(), &driver.clock).unwrap());
+    let errand = errand(READ);
+    let ended = tokio::select! {
+        biased;
+        ended = driver.upstream.attempt(&server, &errand) => ended.status,
+        _ = listener.accept() => panic!("the whole grace is used"),
+    };
+    assert_eq!(ended, Status::Unreachable);
+}
--- a/crates/node/src/upstream/pool.rs
+++ b/crates/node/src/upstream/pool.rs
@@ -54,6 +54,7 @@
     pub(super) budget: Rc<Budget>,
     pub(super) figures: Rc<Figures>,
     pub(super) keep_alive: KeepAlive,
+    round: Cell<Duration>,
     /// Counts connections of each box, where there are budgets.
     fleet: OnceCell<Rc<Fleet>>,
 }
@@ -67,10 +68,16 @@
             budget,
             figures,
             keep_alive: KeepAlive::new(bounds.idle),
+            round: Cell::default(),
             fleet: OnceCell::new(),
         }
     }
 
+    /// What is written takes its time to arrive: a round, as with the windows of repeats, is left of a server's grace.
+    pub fn rounds(&self, round: Duration) {
+        self.round.set(round);
+    }
+
     /// From now on connections keep to the parts of budgets that this node has.
     pub fn budgeted(self: &Rc<Self>, fleet: Rc<Fleet>) {
         if fleet.has_budgets() {
@@ -98,7 +105,7 @@
         let mut moved = Vec::new();
         let mut endpoints = self.endpoints.borrow_mut();
         let now = Instant::now();
-        let past = now + self.bounds.grace;
+        let past = now + self.bounds.grace.saturating_sub(self.round.get());
         if roster.complete {
             // A set: looked up one by one, a list of ten thousand took the node's only thread for seconds.
             let listed: HashSet<&ServerId> = roster.members.iter().map(|m| &m.entry.server).collect();
--- a/crates/node/src/upstream/tests/pooling.rs
+++ b/crates/node/src/upstream/tests/pooling.rs
@@ -37,15 +37,20 @@
 /// written, and the attempt never ran.
 #[tokio::test]
 async fn nothing_is_written_to_a_draining_server_past_the_grace() {
-    for (phase, grace, written) in [
-        ("draining", Duration::ZERO, false),
-        ("gone", Duration::ZERO, false),
-        ("odd", Duration::ZERO, false),
-        ("draining", LONG, true),
-        ("ready", Duration::ZERO, true),
+    let none = Duration::ZERO;
+    for (phase, grace, round, written) in [
+        ("draining", none, none, false),
+        ("gone", none, none, false),
+        ("odd", none, none, false),
+        ("draining", LONG, none, true),
+        // What is written in its last round may arrive behind it.
+        ("draining", LONG, LONG, false),
+        ("draining", LONG, LONG / 2, true),
+        ("ready", none, none, true),
     ] {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let upstream = upstream(grace, 9);
+        upstream.rounds(round);
         upstream.learn(&roster(&listener, "ready"));
         let (server, errand) = (ServerId("s".into()), errand(READ));
         let attempt = upstream.attempt(&server, &errand);
@@ -80,7 +85,7 @@
         assert_eq!(
             (ended.status, !seen.is_empty(), errand.written.get()),
             (status, written, written),
-            "{phase}"
+            "{phase}, {grace:?}, {round:?}"
         );
     }
 }
