Blame no server for a window's end, and tell it the time that is left

Seen by reading, attempt.rs. (1) `attempt`: a retry dials for what is left of the class's window. Where that ended it the attempt was unreachable, as at a server at which no connection comes up, though it may have had a few milliseconds of the second that a connection has. Such servers are ejected. (2) `put`: the time told to the server was worked out once, before a wait for room for the first byte; the server was told what had passed meanwhile too. Ruled out: the module's own give-up times, which count as before, and a command of which a part was taken: that server takes nothing more.

Change: an attempt whose window ends before its connection is up was never sent, which says nothing of the server. The command is worded anew as long as none of it has gone out.

Result: two tests on the paused clock.

--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -78,6 +78,10 @@
         // What may not be written by then need not come up later either.
         let connection = match self.open(server, errand.latest(), errand.repeats.is_some()).await {
             Ok(connection) => connection,
+            // It had less than the time of a connection to come up.
+            Err(Status::Unreachable) if errand.is_beyond_window(Instant::now()) => {
+                return Status::Void.into()
+            }
             Err(status) => return status.into(),
         };
         if let Err(status) = errand.may_write(Instant::now()) {
@@ -95,29 +99,31 @@
 
     /// Writes the command while it may go out. Where it fails the last byte was not written: it never ran.
     async fn put(&self, server: &ServerId, errand: &Errand, connection: &Connection) -> Result<(), Status> {
-        let text = errand.command.forward(errand.until.saturating_duration_since(Instant::now()));
-        let mut left = &text[..];
-        while !left.is_empty() {
+        let (mut text, mut out) = (Bytes::new(), 0);
+        loop {
             let now = Instant::now();
             errand.may_write(now)?;
-            // For a drain the first byte counts.
-            if left.len() == text.len() && !self.may_send(server, connection) {
-                return Err(Status::Unreachable);
-            }
-            match connection.stream.try_write(left) {
-                Ok(written) if written == left.len() => {
-                    errand.wrote(now);
-                    return Ok(());
+            if out == 0 {
+                // For a drain the first byte counts.
+                if !self.may_send(server, connection) {
+                    return Err(Status::Unreachable);
                 }
-                Ok(written) => left = &left[written..],
+                // The time that it tells counts from here, however long the first byte was held back.
+                text = errand.command.forward(errand.until.saturating_duration_since(now)).into();
+            }
+            match connection.stream.try_write(&text[out..]) {
+                Ok(written) => out += written,
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     let writable = timeout_at(errand.latest(), connection.stream.writable()).await;
                     writable.map_err(|_| Status::Unreachable)?.map_err(|_| Status::Unreachable)?;
                 }
                 Err(_) => return Err(Status::Unreachable),
             }
+            if out == text.len() {
+                errand.wrote(now);
+                return Ok(());
+            }
         }
-        Ok(())
     }
 
     async fn converse(
--- a/crates/node/src/upstream/errand.rs
+++ b/crates/node/src/upstream/errand.rs
@@ -56,6 +56,11 @@
         window.map_or(self.until, |ends| ends.min(self.until))
     }
 
+    /// Whether it may not go out any more though the node would still wait.
+    pub(super) fn is_beyond_window(&self, now: Instant) -> bool {
+        (self.latest()..self.until).contains(&now)
+    }
+
     /// Whether a part that may end the command may go out now. What may not says nothing of the server.
     pub(super) fn may_write(&self, now: Instant) -> Result<(), Status> {
         (now < self.latest() && !self.gone.is_told()).then_some(()).ok_or(Status::Void)
--- a/crates/node/src/upstream/tests.rs
+++ b/crates/node/src/upstream/tests.rs
@@ -1,6 +1,7 @@
 //! What the tests of the connections share.
 
 mod cut_values;
+mod held_back;
 mod idle_closes;
 mod keep_alive;
 mod last_byte;
--- a/crates/node/src/upstream/tests/last_byte.rs
+++ b/crates/node/src/upstream/tests/last_byte.rs
@@ -15,11 +15,11 @@
 use super::super::Ended;
 use super::*;
 
-const WINDOW: Duration = Duration::from_millis(300);
+pub(super) const WINDOW: Duration = Duration::from_millis(300);
 /// Much of what a connection takes at once.
 const LARGE: usize = 60_000;
 
-fn server() -> ServerId {
+pub(super) fn server() -> ServerId {
     ServerId("s".into())
 }
 
@@ -33,7 +33,7 @@
 }
 
 /// One turn of the attempt, that it does not end in.
-async fn turn(attempt: &mut Pin<&mut impl Future<Output = Ended>>) {
+pub(super) async fn turn(attempt: &mut Pin<&mut impl Future<Output = Ended>>) {
     tokio::select! {
         biased;
         ended = attempt => panic!("ended as {ended:?}"),
@@ -51,7 +51,7 @@
 
 /// An upstream with one kept connection, the server's end of it, and so many bytes that are on their way. Its buffers
 /// are too small for a large command to go out whole before the server reads.
-async fn full() -> (Rc<Upstream>, TcpStream, usize) {
+pub(super) async fn full() -> (Rc<Upstream>, TcpStream, usize) {
     let socket = TcpSocket::new_v4().unwrap();
     socket.set_recv_buffer_size(16 * 1024).unwrap();
     socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
