Let watches of an asked list wait 2 s, so that silence hides nothing for over 6 s

A shorter wait of only the first watch had broken the rule on drains: discovery counts silence by the watch that goes on.

At fault: discovery/manner.rs, `asked`: a wait of 20 s that comes from no setting. Change: a third of what counts as told after a failed call. With what an answer may be late, the balancer's wait and an answer of 1 s: 3.95 s. The line on the old sum, 2 s after the wait, gave way to this stricter one in tests/manner.rs.

Without the mend: "learnt after 21.75s"; "every 0.75 s: 21.45s after a watch began".

--- a/crates/node/src/discovery/manner.rs
+++ b/crates/node/src/discovery/manner.rs
@@ -5,8 +5,6 @@
 
 use hallpin_decisions::{Membership, Settings};
 
-const SECOND: Duration = Duration::from_secs(1);
-
 /// How calls are made.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Manner {
@@ -42,16 +40,16 @@
         Manner { whole: part(55), wait: part(35), late: part(25), backoff: part(5), max_backoff: part(10) }
     }
 
-    /// Where discovery is asked, each call takes part of a service that all nodes share; the balancer says when to call
-    /// again. After a failed call a change counts as told 6 s after discovery could be reached, or four times the time
-    /// to ask if that is less: a call that hangs, the balancer's wait and a call that succeeds fit into it. What a
-    /// silent watch missed counts 2 s after its wait, or after those 6 s: the call after it has the rest of that time.
+    /// Where discovery is asked, beginning to follow the list takes part of a service that all nodes share; the balancer
+    /// says when to call again. After a failed call a change counts as told 6 s after discovery could be reached, or
+    /// four times the time to ask if that is less: a call that hangs, the balancer's wait and a call that succeeds fit
+    /// into it. So do a silent watch, that wait and a call of a second, as a watch may follow a failed call.
     fn asked(ask_every: f64) -> Self {
         // Discovery may take a second for an answer.
         let told = Duration::from_secs_f64((4.0 * ask_every).clamp(3.0, 6.0));
         Manner {
             whole: told * 11 / 30,
-            wait: 20 * SECOND,
+            wait: told / 3,
             late: told / 10,
             backoff: Duration::ZERO,
             max_backoff: Duration::ZERO,
--- a/crates/node/src/discovery/tests/manner.rs
+++ b/crates/node/src/discovery/tests/manner.rs
@@ -30,14 +30,15 @@
 fn an_asked_list_is_had_before_it_counts_whatever_a_call_waits_for() {
     for ask_every in [0.75, 1.0, 1.2, 1.5, 2.0, 10.0, 60.0] {
         let settings = asked(ask_every);
-        let Manner { whole, late, .. } = Manner::of(&settings);
+        let Manner { whole, wait, late, .. } = Manner::of(&settings);
         let told = (4 * Duration::from_secs_f64(ask_every)).min(6 * SECOND);
         let (first, later) = (reask(&settings, 1), reask(&settings, 9));
         // One that hangs, the wait, and one that only just succeeds.
         assert!(whole + later + whole < told, "every {ask_every} s: {whole:?}, {later:?}, {whole:?}");
         assert!(whole > SECOND, "every {ask_every} s: discovery may take a second, not {whole:?}");
-        // A silent watch, and an answer that takes a second.
-        assert!(late + first + SECOND < 2 * SECOND, "every {ask_every} s: {late:?}, {first:?}");
+        // A silent watch, at whatever moment after a failed call, and an answer that takes a second.
+        let silent = wait + late + first + SECOND;
+        assert!(silent < told, "every {ask_every} s: {silent:?} after a watch began");
     }
 }
 
