--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -166,6 +166,7 @@
 
 impl Offer {
     pub async fn run(self) {
+        let mut gone = false;
         // A door of a process that stops would hide that of the process that comes after it.
         while self.socket.strong_count() > 0 {
             let door = match publish(&self.path) {
@@ -174,22 +175,25 @@
                     return warn!(path = %self.path.display(), %error, "none is offered");
                 }
             };
+            // Said when the next one finds this process again.
+            if std::mem::take(&mut gone) {
+                info!("the successor is gone");
+            }
             match door.accept().await {
-                Ok((stream, _)) => {
-                    if let Err(error) = self.hand_over(stream).await {
-                        warn!(%error, "not handed over");
-                    }
-                }
+                Ok((stream, _)) => match self.hand_over(stream).await {
+                    Ok(handed) => gone = handed,
+                    Err(error) => warn!(%error, "not handed over"),
+                },
                 Err(_) => sleep(PAUSE).await,
             }
             // A successor that came to nothing had put its own door at the name.
         }
     }
 
-    /// Hands the socket over and stays until the successor is gone.
-    async fn hand_over(&self, mut stream: UnixStream) -> io::Result<()> {
+    /// Hands the socket over, if there is one left, and stays until the successor is gone.
+    async fn hand_over(&self, mut stream: UnixStream) -> io::Result<bool> {
         expect_own(&stream)?;
-        let Some(socket) = self.socket.upgrade() else { return Ok(()) };
+        let Some(socket) = self.socket.upgrade() else { return Ok(false) };
         send(&stream, socket.as_fd())?;
         drop(socket);
         info!("the socket is handed over");
@@ -210,9 +214,8 @@
                 () = self.closed.notified() => drop(stream.write_all(&[CLOSED]).await),
             }
         }
-        info!("the successor is gone");
         self.budget.leave();
         self.successor.send_replace(Successor::None);
-        Ok(())
+        Ok(true)
     }
 }
