Let a request behind an error keep nine tenths of the shortest deadline

Seen: a request that comes behind an error of its client's own waits for 100 ms before it is taken, whatever its deadline: one with less than that was over by then and refused unsent. No usual client is concerned, as only ERROR and CLIENT_ERROR pause a connection; SERVER_ERROR does not.

At fault: PENANCE in frontend/output.rs, the one pause of the clients' side that was chosen for one deployment's deadlines.

Change: the pause is a tenth of the settings' shortest deadline, 100 ms at most, as it was.

Result: with the old pause a_request_behind_an_error_keeps_most_of_its_time fails with 100 ms where 5 ms are left to a deadline of 50 ms.

--- a/crates/node/src/frontend/mod.rs
+++ b/crates/node/src/frontend/mod.rs
@@ -21,7 +21,7 @@
 use tracing::warn;
 
 use client::Client;
-pub use output::STALLED;
+pub use output::{penance, STALLED};
 pub use shared::Frontend;
 use shared::{Closable, Rank};
 
--- a/crates/node/src/frontend/output.rs
+++ b/crates/node/src/frontend/output.rs
@@ -15,6 +15,12 @@
 
 /// Nothing is taken from a client for so long after an answer that turned it away: it would ask again at once.
 const PENANCE: Duration = Duration::from_millis(100);
+
+/// The same where requests may have to be answered within so little: what comes behind an error keeps most of its time.
+pub fn penance(shortest: Duration) -> Duration {
+    PENANCE.min(shortest / 10)
+}
+
 /// A client that takes nothing of its answers for this long is gone.
 pub const STALLED: Duration = Duration::from_secs(10);
 /// Least rate in bytes a second, beyond the first `STALLED`, at which a client takes what it is owed: one that takes
@@ -26,7 +32,7 @@
     pub(super) fn queue(&mut self, answer: Answer) {
         self.answered = Some(Instant::now());
         if protocol::turns_away(&answer.text) {
-            self.paused = Instant::now() + PENANCE;
+            self.paused = Instant::now() + self.frontend.penance;
         } else {
             self.trusted = true;
         }
--- a/crates/node/src/frontend/shared.rs
+++ b/crates/node/src/frontend/shared.rs
@@ -32,6 +32,7 @@
     /// Numbers requests, and idle connections by age; none comes twice.
     pub(super) next_number: Cell<u64>,
     pub(super) budget: Rc<Budget>,
+    pub(super) penance: Duration,
     /// Connections that are open.
     pub(super) open: Cell<usize>,
     pub(super) closed: Notify,
@@ -70,6 +71,7 @@
         upstream: Rc<Upstream>,
         lifecycle: Rc<Lifecycle>,
         budget: Rc<Budget>,
+        penance: Duration,
     ) -> Rc<Self> {
         Rc::new(Frontend {
             driver,
@@ -77,6 +79,7 @@
             lifecycle,
             next_number: Cell::new(1),
             budget,
+            penance,
             open: Cell::new(0),
             closed: Notify::new(),
             closable: RefCell::default(),
--- a/crates/node/src/frontend/tests/input.rs
+++ b/crates/node/src/frontend/tests/input.rs
@@ -4,9 +4,13 @@
 
 use bytes::BufMut;
 use hallpin_protocol::Input;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::{advance, Instant};
 
+use super::{held, settle, with_client_for};
+use crate::config::Limits;
 use crate::frontend::input::Arrived;
+use crate::message::Message;
 
 const READ: &[u8] = b"mg k v Oa Pc=read,d=9000\r\n";
 const MS: Duration = Duration::from_millis(1);
@@ -60,3 +64,19 @@
     assert_eq!((&taken[..32], taken.len()), (&first[..], 100));
     assert!(taken[32..].iter().all(|at| *at == 31 * MS));
 }
+
+/// A request behind an error of its client's own waits for no more than a tenth of the shortest deadline.
+#[tokio::test(start_paused = true)]
+async fn a_request_behind_an_error_keeps_most_of_its_time() {
+    for (shortest, waits) in [(50, 5), (300, 30), (1000, 100), (3000, 100)] {
+        with_client_for(&Limits::default(), shortest * MS, |mut client, _, mut inbox| async move {
+            client.write_all(b"get k\r\n").await.unwrap();
+            held(client.read_exact(&mut [0; 7])).await.unwrap();
+            client.write_all(READ).await.unwrap();
+            settle().await;
+            let Some(Message::Request { at, .. }) = inbox.recv().await else { panic!("a request") };
+            assert_eq!(at.elapsed(), waits * MS, "of {shortest} ms");
+        })
+        .await;
+    }
+}
--- a/crates/node/src/frontend/tests/mod.rs
+++ b/crates/node/src/frontend/tests/mod.rs
@@ -16,7 +16,7 @@
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::task::LocalSet;
 
-use super::Frontend;
+use super::{penance, Frontend};
 use crate::budget::Budget;
 use crate::config::Limits;
 use crate::figures::Figures;
@@ -24,13 +24,19 @@
 use crate::message::Message;
 use crate::upstream::{Bounds, Upstream};
 
-/// A frontend within these limits whose requests go to `messages`, with a second for every time it is given.
+/// A frontend within these limits whose requests go to `messages`, with a second for every time it is given, and deadlines
+/// of some seconds.
 fn frontend(limits: &Limits, messages: UnboundedSender<Message>) -> Rc<Frontend> {
+    frontend_for(limits, messages, LONG)
+}
+
+/// The same where the shortest deadline is this.
+fn frontend_for(limits: &Limits, messages: UnboundedSender<Message>, shortest: Duration) -> Rc<Frontend> {
     let second = Duration::from_secs(1);
     let bounds = Bounds { dial: second, idle: second, grace: second };
     let budget = Budget::new(limits);
     let upstream = Rc::new(Upstream::new(bounds, budget.clone(), Figures::new([])));
-    Frontend::new(messages, upstream, Lifecycle::new(), budget)
+    Frontend::new(messages, upstream, Lifecycle::new(), budget, penance(shortest))
 }
 
 /// Longer than anything takes on a busy machine; only a failing test waits for it.
@@ -58,9 +64,18 @@
 async fn with_client<F: Future<Output = ()>>(
     limits: &Limits,
     play: impl FnOnce(TcpStream, Rc<Frontend>, UnboundedReceiver<Message>) -> F,
+) {
+    with_client_for(limits, LONG, play).await;
+}
+
+/// The same where the shortest deadline is this.
+async fn with_client_for<F: Future<Output = ()>>(
+    limits: &Limits,
+    shortest: Duration,
+    play: impl FnOnce(TcpStream, Rc<Frontend>, UnboundedReceiver<Message>) -> F,
 ) {
     let (messages, inbox) = unbounded_channel();
-    let frontend = frontend(limits, messages);
+    let frontend = frontend_for(limits, messages, shortest);
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let client = async {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -64,8 +64,10 @@
     let (seed, settings, operator_at) = (config.seed()?, config.settings()?, config.operator()?);
     let setup = options.fleet.as_deref().map(|file| Setup::read(file, &config)).transpose()?;
     let clock = Clock::start();
-    let longest = settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
+    let deadlines = settings.classes.iter().map(|class| class.deadline);
+    let longest = deadlines.clone().fold(0.0, f64::max);
     let times = Stop::of(config.seconds("hard-limit-s", longest)?);
+    let penance = frontend::penance(config.seconds("hard-limit-s", deadlines.fold(longest, f64::min))?);
 
     let lifecycle = Lifecycle::new();
     let figures = Figures::new(settings.classes.iter().map(|class| class.name.as_str()));
@@ -96,7 +98,8 @@
     if let Some(known) = &config.known {
         driver.known(Roster::from_json(known.get().as_bytes(), &clock).map_err(config.wrong("known"))?);
     }
-    let frontend = Frontend::new(messages.clone(), upstream.clone(), lifecycle.clone(), budget.clone());
+    let (driven, served) = (messages.clone(), upstream.clone());
+    let frontend = Frontend::new(driven, served, lifecycle.clone(), budget.clone(), penance);
     // First the one that takes nobody's requests: what is wrong with it is found before clients come.
     let operator_at = operator_at.map(|at| Operator::bind(at).map(|bound| (at, bound))).transpose()?;
     let (listener, predecessor) = tokio::select! {
--- a/crates/node/src/succession/tests.rs
+++ b/crates/node/src/succession/tests.rs
@@ -17,7 +17,7 @@
     let bounds = Bounds { dial: second, idle: second, grace: second };
     let budget = Budget::new(&Limits::default());
     let upstream = Rc::new(Upstream::new(bounds, budget.clone(), Figures::new([])));
-    Frontend::new(unbounded_channel().0, upstream, Lifecycle::new(), budget)
+    Frontend::new(unbounded_channel().0, upstream, Lifecycle::new(), budget, second)
 }
 
 /// Accepts for no time at all, beside this state of a successor.
