Record calls to discovery that are given up, in virtual time and on sockets

Change: in virtual time a watch that is to be opened anew while discovery is down fails, and is asked again after `reopens`; calls that wait when an outage begins are given up alike, and answered at its end.

Test: a_call_that_is_given_up_in_an_outage_leaves_6_s_for_what_discovery_had_before.

--- a/crates/fleet/src/sockets/agent.rs
+++ b/crates/fleet/src/sockets/agent.rs
@@ -27,6 +27,8 @@
     fn revision(&self) -> watch::Receiver<u64>;
     /// It is asked, for the whole list or for what came after a revision.
     fn asked(&self, after: Option<u64>);
+    /// The call is over and its node has had no answer: it has given the call up, or has ended.
+    fn given_up(&self) {}
     /// Discovery's form of the whole list, or of what came after a revision. It is sent at once and counts as told.
     fn tell(&self, after: Option<u64>) -> String;
 }
@@ -65,6 +67,8 @@
         return respond(StatusCode::BAD_REQUEST, "index and wait: whole numbers expected".into());
     };
     agent.asked(index);
+    // Whoever hangs up ends this call wherever it waits.
+    let mut call = Call { agent: &agent, answered: false };
     // While discovery is down its agent says nothing.
     let mut silence = agent.silence();
     if silence.wait_for(|reasons| *reasons == 0).await.is_err() {
@@ -79,5 +83,20 @@
             return std::future::pending().await;
         }
     }
+    call.answered = true;
     respond(StatusCode::OK, agent.tell(index))
 }
+
+/// A call that is out; one that is dropped before its answer was given up.
+struct Call<'a, A: Agent> {
+    agent: &'a A,
+    answered: bool,
+}
+
+impl<A: Agent> Drop for Call<'_, A> {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.agent.given_up();
+        }
+    }
+}
--- a/crates/fleet/src/sockets/discovery.rs
+++ b/crates/fleet/src/sockets/discovery.rs
@@ -28,8 +28,16 @@
 
     fn asked(&self, _after: Option<u64>) {}
 
+    fn given_up(&self) {
+        // At the day's end all calls are dropped at once, whoever holds the stage then.
+        if let Ok(mut stage) = self.stage.try_borrow_mut() {
+            stage.call_failed(self.node);
+        }
+    }
+
     fn tell(&self, after: Option<u64>) -> String {
         let mut stage = self.stage.borrow_mut();
+        stage.call_answered(self.node);
         let list = &stage.agents[self.node].list;
         let news = after.map_or_else(|| list.whole(), |after| list.since(after));
         let body = form(&stage, self.node, &news).to_string();
--- a/crates/model/src/world/incidents.rs
+++ b/crates/model/src/world/incidents.rs
@@ -18,7 +18,7 @@
             Incident::Heavy { class, share, factor } => self.clients.heavy(*class, Some((*share, *factor))),
             Incident::NodeDeath(nodes) => nodes.iter().for_each(|&node| self.node_ends(node, false)),
             Incident::NodeRestart(nodes) => nodes.iter().for_each(|&node| self.restart(node, scheduled.stop)),
-            Incident::ListOutage => self.list_silent += 1,
+            Incident::ListOutage => self.agents_silent(),
             Incident::PlannerSlow(factor) => self.origin.planner_mut().slow_by(*factor),
             Incident::PlannerSilent => self.origin.silence(self.now, true, &mut outs),
             Incident::Partition(pairs) => self.part(pairs, 1),
@@ -61,7 +61,6 @@
             Incident::NodeDeath(nodes) => nodes.iter().for_each(|&node| self.node_starts(node)),
             Incident::NodeRestart(_) => {}
             Incident::ListOutage => {
-                self.list_silent -= 1;
                 self.agents_answer();
                 self.spread_news();
             }
--- a/crates/model/src/world/listed.rs
+++ b/crates/model/src/world/listed.rs
@@ -66,27 +66,53 @@
         self.hand_over(node, news);
     }
 
+    /// Discovery falls silent: the calls that are out are given up in time, if it lasts for so long.
+    pub(super) fn agents_silent(&mut self) {
+        self.list_silent += 1;
+        let waiting: Vec<NodeId> = (0..self.hosts.len()).filter(|node| !self.hosts[*node].silent).collect();
+        if self.list_silent == 1 {
+            waiting.into_iter().for_each(|node| self.reopens_later(node));
+        }
+    }
+
     /// Right after an outage agents answer again, with what they had before it.
     pub(super) fn agents_answer(&mut self) {
-        (0..self.hosts.len()).for_each(|node| self.told(node));
+        self.list_silent -= 1;
+        let waiting = |host: &Host| self.list_silent == 0 && host.alive && !host.silent;
+        let nodes: Vec<NodeId> = (0..self.hosts.len()).filter(|node| waiting(&self.hosts[*node])).collect();
+        for node in nodes {
+            self.record(Event::WatchOpened { node });
+            self.told(node);
+        }
     }
 
     /// Watches of the list fall silent.
     pub(super) fn watches_silent(&mut self, at: usize) {
         let silence = &self.day.silences[at];
         for &node in &silence.nodes {
-            let life = self.hosts[node].life;
             if self.hosts[node].alive && !std::mem::replace(&mut self.hosts[node].silent, true) {
                 self.record(Event::WatchSilent { node, waits: silence.waits });
-                self.after(self.day.shell.reopens, Due::WatchOpens { node, life });
+                self.reopens_later(node);
             }
         }
     }
 
+    pub(super) fn reopens_later(&mut self, node: NodeId) {
+        let life = self.hosts[node].life;
+        self.after(self.day.shell.reopens, Due::WatchOpens { node, life });
+    }
+
+    /// A node gives up a call that brings nothing, and opens its watch anew; while discovery is down that call fails.
     pub(super) fn watch_opens(&mut self, node: NodeId) {
-        self.hosts[node].silent = false;
-        self.record(Event::WatchOpened { node });
-        self.told(node);
+        if self.list_silent > 0 {
+            self.record(Event::CallFailed { node });
+            return self.reopens_later(node);
+        }
+        // Discovery has answered meanwhile, unless it was the watch that fell silent.
+        if std::mem::take(&mut self.hosts[node].silent) {
+            self.record(Event::WatchOpened { node });
+            self.told(node);
+        }
     }
 
     pub(super) fn hand_over(&mut self, node: NodeId, news: News) {
--- a/crates/model/src/world/lives.rs
+++ b/crates/model/src/world/lives.rs
@@ -40,8 +40,11 @@
             self.hosts[node].plane = self.new_plane(node).ok().flatten();
             self.record(Event::NodeUp { node });
             self.start_host(node);
-            // Its agent answers from the first moment on.
+            // Its agent answers from the first moment on, unless discovery is down.
             self.told(node);
+            if self.list_silent > 0 {
+                self.reopens_later(node);
+            }
         }
     }
 
--- a/crates/model/tests/terms.rs
+++ b/crates/model/tests/terms.rs
@@ -127,6 +127,30 @@
     }
 }
 
+/// The silent call may wait for long, and it is given up while discovery is down: what discovery had until then counts 6 s
+/// after it had it, however long the wait.
+#[test]
+fn a_call_that_is_given_up_in_an_outage_leaves_6_s_for_what_discovery_had_before() {
+    let day = |reopens: &str, lasts: &str| {
+        let outage = format!("[[incidents]]\nkind = \"list-outage\"\nat = \"10s\"\nlasts = \"{lasts}\"\n");
+        silences(&format!("reopens = \"{reopens}\""), "by = \"30s\"") + &outage
+    };
+    for (reopens, lasts, failed, breaks) in [
+        ("8s", "900ms", 0, false),
+        // Given up at 11 s, and anew at 19 s only.
+        ("8s", "2s", 3, true),
+        // Given up at 11 s and at 12 s, and answered right after the outage.
+        ("1s", "2500ms", 3 * 2, false),
+    ] {
+        let (events, verdict) = play(&day(reopens, lasts), 1);
+        let calls = events.iter().filter(|(_, e)| matches!(e, Event::CallFailed { .. })).count();
+        assert_eq!(calls, failed, "{reopens}, {lasts}");
+        let broken: Vec<&Rule> = verdict.breaches.keys().collect();
+        let expected: &[&Rule] = if breaks { &[&Rule::Drain] } else { &[] };
+        assert_eq!(broken, expected, "{reopens}, {lasts}: {:?}", verdict.told);
+    }
+}
+
 /// Boxes drain while all nodes are down, and while the list is silent: the agent tells a new process at once, and all of
 /// them right after the outage.
 #[test]
