Keep the sockets' clock to its folder, as clippy asks

Seen: clippy with warnings denied refused the split stage (private-interfaces, three methods of stage/mod.rs): they take `Due`, which is narrower than they were. They are private again, as before the split; the files beside see them all the same. Nothing else changes.

--- a/crates/fleet/src/sockets/stage/mod.rs
+++ b/crates/fleet/src/sockets/stage/mod.rs
@@ -155,7 +155,7 @@
         }
     }
 
-    pub(super) fn enter(&mut self, at: Time, due: Due) {
+    fn enter(&mut self, at: Time, due: Due) {
         let first = self.next_due().is_none_or(|next| at < next);
         self.agenda.enter(at, due);
         if first {
@@ -163,7 +163,7 @@
         }
     }
 
-    pub(super) fn after(&mut self, span: Span, due: Due) {
+    fn after(&mut self, span: Span, due: Due) {
         self.enter(self.now() + span, due);
     }
 
@@ -179,7 +179,7 @@
         }
     }
 
-    pub(super) fn play(&mut self, at: Time, due: Due) {
+    fn play(&mut self, at: Time, due: Due) {
         match due {
             Due::BoxWakes(b) if self.places[b].wakes == Some(at) => {
                 self.places[b].wakes = None;
@@ -226,7 +226,7 @@
         }
     }
 
-    pub(super) fn next_change(&mut self) {
+    fn next_change(&mut self) {
         if self.day.keys.changes > 0.0 {
             let wait = Span::from_secs(self.chance.exponential(1.0 / self.day.keys.changes));
             self.after(wait, Due::KeyChanges);
