--- a/review/standins/src/platform.rs
+++ b/review/standins/src/platform.rs
@@ -124,7 +124,7 @@
     /// Starts a node. `known` is a list in discovery's form.
     pub fn start(record: &Record, site: Site, discovery: SocketAddr, known: &str) -> Self {
         let listen = free_address();
-        let unique = format!("hallpin-review-{}-{}", std::process::id(), listen.port());
+        let unique = format!("hr-{}-{}", std::process::id(), listen.port());
         let folder = std::env::temp_dir().join(unique);
         std::fs::create_dir_all(folder.join("tmp")).unwrap_or_else(|error| not_run(&error.to_string()));
         let name = if site.me == 0 { "node" } else { "other node" };
