--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -3,6 +3,7 @@
 
 mod behind;
 mod client;
+mod departed;
 mod long_values;
 mod pauses;
 mod pipeline;
@@ -35,7 +36,9 @@
             "restart-pipeline" => pipeline::run(&of_case),
             "behind" => behind::run(&of_case),
             "slow-reader" => slow_reader::run(&of_case),
-            "slow-list" => slow_list::run(&of_case),
+            "departed" => departed::run(&of_case),
+            "slow-list" => slow_list::pushed(&of_case),
+            "slow-asked-list" => slow_list::asked(&of_case),
             _ => not_run("no such case"),
         };
         let _ = ended.send(verdict);
--- a/review/standins/src/servers.rs
+++ b/review/standins/src/servers.rs
@@ -11,14 +11,6 @@
 
 /// How a cache server gives its values: keys that begin with `long` have `length` bytes, in pieces with a pause ahead
 /// of each but the first; all others have 12 bytes at once.
-impl Default for Values {
-    fn default() -> Self {
-        let (pause, short_takes, slow_takes) =
-            (Duration::ZERO, Duration::from_millis(5), Duration::from_millis(5));
-        Values { length: 12, piece: 12, pause, short_takes, slow_takes, breaks_after: None }
-    }
-}
-
 #[derive(Clone, Copy)]
 pub struct Values {
     pub length: usize,
@@ -27,10 +19,27 @@
     /// How long a short value takes, and how long one whose key begins with `slow`.
     pub short_takes: Duration,
     pub slow_takes: Duration,
+    /// How long a write takes.
+    pub write_takes: Duration,
     /// After how many bytes of a long value the connection ends, if it does.
     pub breaks_after: Option<usize>,
 }
 
+impl Default for Values {
+    fn default() -> Self {
+        let takes = Duration::from_millis(5);
+        Values {
+            length: 12,
+            piece: 12,
+            pause: Duration::ZERO,
+            short_takes: takes,
+            slow_takes: takes,
+            write_takes: Duration::ZERO,
+            breaks_after: None,
+        }
+    }
+}
+
 /// A command that came whole to a cache server.
 #[derive(Clone)]
 pub struct Received {
@@ -111,6 +120,7 @@
                     let at = record.seconds();
                     record.line(&format!("{}: received {}", self.name, line.trim_end()));
                     self.received.lock().unwrap().push(Received { id: id.clone(), at });
+                    std::thread::sleep(values.write_takes);
                     writer.write_all(format!("HD O{id} c{id}\r\n").as_bytes())
                 }
                 _ => writer.write_all(b"ERROR\r\n"),
--- a/review/standins/src/slow_list.rs
+++ b/review/standins/src/slow_list.rs
@@ -4,20 +4,29 @@
 
 use crate::client::Client;
 use crate::has_trouble;
-use crate::platform::{Node, Record, BROKEN, HELD, MIDLANDS, NOT_RUN};
+use crate::platform::{Node, Record, Site, BROKEN, HELD, MIDLANDS, NOT_RUN};
 use crate::servers::{CacheServer, Discovery, Values};
 
-/// How long each answer of discovery takes from some moment on.
-const DELAY: Duration = Duration::from_millis(700);
 /// A change counts as told by then, whatever happens, and the drain's grace and the slack on sockets follow.
 const TOLD_AFTER_S: f64 = 6.0;
 const SLACK_S: f64 = 0.05;
 
-pub fn run(record: &Record) -> i32 {
+/// The list is pushed, as the site has it.
+pub fn pushed(record: &Record) -> i32 {
+    run(record, MIDLANDS, Duration::from_millis(700))
+}
+
+/// The list is asked for.
+pub fn asked(record: &Record) -> i32 {
+    run(record, Site { membership: "on_request", ..MIDLANDS }, Duration::from_millis(2500))
+}
+
+/// From some moment on each answer of discovery takes `delay`.
+fn run(record: &Record, site: Site, delay: Duration) -> i32 {
     let servers: Vec<CacheServer> =
         (0..3).map(|n| CacheServer::start(&format!("s-{n}"), record, Values::default())).collect();
     let discovery = Discovery::start(record, &servers);
-    let mut node = Node::start(record, MIDLANDS, discovery.address, &discovery.list());
+    let mut node = Node::start(record, site, discovery.address, &discovery.list());
     if !node.wait_until_ready(Duration::from_secs(30)) {
         return NOT_RUN;
     }
@@ -41,7 +50,7 @@
         return NOT_RUN;
     }
     if has_trouble() {
-        discovery.set_delay(DELAY);
+        discovery.set_delay(delay);
     }
     if !traffic(Duration::from_secs(3)) {
         return NOT_RUN;
@@ -52,7 +61,7 @@
     if !traffic(Duration::from_secs(15)) {
         return NOT_RUN;
     }
-    let bound = drained_at + TOLD_AFTER_S + MIDLANDS.drain_grace_s + SLACK_S;
+    let bound = drained_at + TOLD_AFTER_S + site.drain_grace_s + SLACK_S;
     let late = servers[1].received().iter().filter(|received| received.at > bound).count();
     let last = servers[1].received().last().map_or(0.0, |received| received.at - drained_at);
     record.line(&format!(
