Log why a value broke off, and which commands were read after their connection's end

Need: a command that the node drops behind the end of a connection was in no log line, and a broken value's line named no cause; so the logs could not tell a late write from one that the node had left unread, nor a dead cache server from a value that the node cut itself.

Change: BrokenBody says which of five causes it was, and the line "a value broke off on its way to its client" carries it. What the node reads and drops after it has ended a connection is logged with the commands' ids, the reason ReadAfterEnd and since when they are known to have waited (debug). The two loops that drop input use one constant.

--- a/crates/node/src/frontend/client.rs
+++ b/crates/node/src/frontend/client.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 use tracing::debug;
 
-use super::input::InputBuffer;
+use super::input::{command_ids, InputBuffer};
 use super::shared::{Frontend, Rank};
 use crate::answer::Answer;
 use crate::budget::MemoryReservation;
@@ -41,6 +41,8 @@
     FramingLost,
     /// The client does not read its answers.
     AnswersUntaken,
+    /// The command was read only after the node had ended the connection.
+    ReadAfterEnd,
 }
 
 /// One client connection.
@@ -178,12 +180,26 @@
     /// Discards the input that was not taken, including a partial command.
     pub(super) fn discard_input(&mut self) {
         if !self.input.is_empty() && tracing::enabled!(tracing::Level::DEBUG) {
-            let elapsed = self.input.first_byte_at().elapsed().as_secs_f64();
-            for opaque in self.input.command_ids() {
-                let opaque = opaque.escape_ascii();
-                debug!(%opaque, reason = ?self.abandon_reason, elapsed, "command given up");
-            }
+            log_given_up(&self.input.command_ids(), self.abandon_reason, self.input.first_byte_at());
         }
         self.input.clear();
     }
+
+    /// Logs the first commands that were read only after the end of the connection, and since when they are known to
+    /// have waited.
+    pub(super) fn log_read_after_end(&self, first_bytes: &[u8]) {
+        if !first_bytes.is_empty() && tracing::enabled!(tracing::Level::DEBUG) {
+            let waiting_since = self.input.unread_since().unwrap_or_else(Instant::now);
+            log_given_up(&command_ids(first_bytes), AbandonReason::ReadAfterEnd, waiting_since);
+        }
+    }
+}
+
+/// Logs commands that get no answer, by their opaque ids.
+fn log_given_up(opaque_ids: &[Bytes], reason: AbandonReason, waiting_since: Instant) {
+    let elapsed = waiting_since.elapsed().as_secs_f64();
+    for opaque in opaque_ids {
+        let opaque = opaque.escape_ascii();
+        debug!(%opaque, ?reason, elapsed, "command given up");
+    }
 }
--- a/crates/node/src/frontend/closing.rs
+++ b/crates/node/src/frontend/closing.rs
@@ -19,7 +19,7 @@
 /// How long, and how many bytes of, input is read and discarded after the last answer.
 pub(super) const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 pub(super) const MAX_LINGER_BYTES: usize = 1 << 20;
-/// Bytes per read when checking for input a last time.
+/// Bytes per read when checking for input a last time, and when discarding it.
 const FINAL_READ_BYTES: usize = 4096;
 
 impl Client {
@@ -95,11 +95,16 @@
         if self.stream.shutdown().await.is_err() {
             return;
         }
-        let mut discarded = [0; 4096];
+        let mut discarded = [0; FINAL_READ_BYTES];
         let mut left = MAX_LINGER_BYTES;
         while left > 0 {
             match (&*SockRef::from(&self.stream)).read(&mut discarded) {
-                Ok(read) if read > 0 => left = left.saturating_sub(read),
+                Ok(read) if read > 0 => {
+                    if left == MAX_LINGER_BYTES {
+                        self.log_read_after_end(&discarded[..read]);
+                    }
+                    left = left.saturating_sub(read);
+                }
                 _ => return,
             }
         }
@@ -112,21 +117,26 @@
             return;
         }
         let frontend = self.frontend.clone();
-        let _entry =
-            EvictionEntry::take(&frontend, (Rank::Closing, self.sequence), self.idle_since, &self.close);
+        let close = self.close.clone();
+        let _entry = EvictionEntry::take(&frontend, (Rank::Closing, self.sequence), self.idle_since, &close);
         let drain = async {
-            let mut discarded = [0; 4096];
+            let mut discarded = [0; FINAL_READ_BYTES];
             let mut left = MAX_LINGER_BYTES;
             while left > 0 {
                 match self.stream.read(&mut discarded).await {
-                    Ok(read) if read > 0 => left = left.saturating_sub(read),
+                    Ok(read) if read > 0 => {
+                        if left == MAX_LINGER_BYTES {
+                            self.log_read_after_end(&discarded[..read]);
+                        }
+                        left = left.saturating_sub(read);
+                    }
                     _ => return,
                 }
             }
         };
         tokio::select! {
             _ = timeout(LINGER_TIMEOUT, drain) => {}
-            () = self.close.notified() => {}
+            () = close.notified() => {}
         }
     }
 }
--- a/crates/node/src/frontend/input.rs
+++ b/crates/node/src/frontend/input.rs
@@ -126,23 +126,14 @@
         self.reads.front().map_or_else(Instant::now, |read| read.at)
     }
 
-    /// Opaque ids of the buffered commands: of the complete ones, and of the last if it is partial, as far as
-    /// received.
+    /// Since when bytes are known to wait in the kernel, if any are.
+    pub(super) fn unread_since(&self) -> Option<Instant> {
+        self.unread_since
+    }
+
+    /// Opaque ids of the buffered commands.
     pub(super) fn command_ids(&self) -> Vec<Bytes> {
-        let mut remaining = self.bytes.clone();
-        let mut opaque_ids = Vec::new();
-        while let Some(input) = protocol::next_input(&mut remaining) {
-            match input {
-                Input::Command(command) => opaque_ids.push(command.opaque()),
-                // From here on no command's end can be found.
-                Input::Invalid { close: true, .. } => break,
-                Input::Invalid { .. } | Input::HealthCheck => {}
-            }
-        }
-        if !remaining.is_empty() {
-            opaque_ids.push(opaque_token(&remaining));
-        }
-        opaque_ids
+        command_ids(&self.bytes)
     }
 
     /// Number of bytes still to come that certainly belong to the partial command.
@@ -156,6 +147,25 @@
     }
 }
 
+/// Opaque ids of the commands in these bytes: of the complete ones, and of the last if it is partial, as far as
+/// received.
+pub(super) fn command_ids(bytes: &[u8]) -> Vec<Bytes> {
+    let mut remaining = BytesMut::from(bytes);
+    let mut opaque_ids = Vec::new();
+    while let Some(input) = protocol::next_input(&mut remaining) {
+        match input {
+            Input::Command(command) => opaque_ids.push(command.opaque()),
+            // From here on no command's end can be found.
+            Input::Invalid { close: true, .. } => break,
+            Input::Invalid { .. } | Input::HealthCheck => {}
+        }
+    }
+    if !remaining.is_empty() {
+        opaque_ids.push(opaque_token(&remaining));
+    }
+    opaque_ids
+}
+
 /// The opaque id in the first line of these bytes; empty if it has not arrived.
 fn opaque_token(bytes: &[u8]) -> Bytes {
     let line = bytes.split(|byte| matches!(byte, b'\r' | b'\n')).next().unwrap_or_default();
--- a/crates/node/src/frontend/output.rs
+++ b/crates/node/src/frontend/output.rs
@@ -73,9 +73,9 @@
                     self.register_end(ends);
                 }
             }
-            Err(BrokenBody) => {
+            Err(cause) => {
                 if let Some(suppressed) = self.frontend.broken_value_log.pass(Instant::now()) {
-                    warn!(suppressed, "a value broke off on its way to its client");
+                    warn!(suppressed, %cause, "a value broke off on its way to its client");
                 }
                 self.body = None;
                 self.close_input(AbandonReason::FramingLost);
--- a/crates/node/src/frontend/tests/logs.rs
+++ b/crates/node/src/frontend/tests/logs.rs
@@ -128,3 +128,21 @@
     };
     node.run(scenario).await;
 }
+
+/// A command that crosses with the end of its connection is logged with its id: its client has to send it again.
+#[tokio::test(start_paused = true)]
+async fn a_command_read_after_the_end_is_logged_with_its_id() {
+    let (log, _dispatches, _guard) = Log::start();
+    let node = Node::start().await;
+    let scenario = async {
+        let mut client = node.client().await;
+        send(&mut client, b"mg k v Oown Pc=read,d=300\r\n").await;
+        // Past the answer at the deadline and the idle timeout.
+        sleep(11 * SECOND).await;
+        with_clock_held(client.read_to_end(&mut Vec::new())).await.unwrap();
+        send(&mut client, b"mg k v Olate Pc=read,d=300\r\n").await;
+        let line = ["command given up", "opaque=late", "reason=ReadAfterEnd", "elapsed=0.0"];
+        assert_eq!(log.count(&line), 1);
+    };
+    node.run(scenario).await;
+}
--- a/crates/node/src/upstream/body_stream.rs
+++ b/crates/node/src/upstream/body_stream.rs
@@ -28,10 +28,20 @@
 /// however slowly, is not cut: the node would lose what the server was about to finish.
 pub(super) const HANG_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// The value ended early, lacks its terminator or took too long, the process ends, or the quota of the value's
-/// connection was revoked.
-#[derive(Debug)]
-pub struct BrokenBody;
+/// Why the rest of a long value does not reach its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum BrokenBody {
+    #[error("the cache server's connection ended")]
+    ConnectionEnded,
+    #[error("the value lacks its terminator")]
+    MissingTerminator,
+    #[error("the cache server sent nothing, or too little, for too long")]
+    ServerTooSlow,
+    #[error("the process ends")]
+    ProcessEnds,
+    #[error("the quota of the cache server's connection was revoked")]
+    QuotaRevoked,
+}
 
 /// The remainder of a long value. It is read as the client takes it, so that a slow client slows its cache server
 /// down and only one piece is held in memory.
@@ -107,23 +117,26 @@
             }
             if self.remaining == 0 && self.buf.len() >= 2 {
                 let end = self.buf.split_to(2);
-                return if end == b"\r\n"[..] { Ok(None) } else { Err(BrokenBody) };
+                return if end == b"\r\n"[..] { Ok(None) } else { Err(BrokenBody::MissingTerminator) };
             }
             let waiting_since = *self.waiting_since.get_or_insert_with(Instant::now);
             self.buf.reserve(READ_CHUNK_BYTES);
             let ends = self.phases.borrow_and_update().answer_deadline;
             let read_deadline =
                 (waiting_since + self.read_timeout()).min(deadline.max(waiting_since + HANG_TIMEOUT));
-            let read_deadline = ends.map_or(read_deadline, |ends| read_deadline.min(ends));
+            let (read_deadline, late) = match ends.filter(|ends| *ends < read_deadline) {
+                Some(ends) => (ends, BrokenBody::ProcessEnds),
+                None => (read_deadline, BrokenBody::ServerTooSlow),
+            };
             // Even if bytes arrived meanwhile, there is nobody left to forward them to.
             if read_deadline <= Instant::now() {
-                return Err(BrokenBody);
+                return Err(late);
             }
             let revoked = self.connection.revoked();
             let read = timeout_at(read_deadline, self.connection.stream.read_buf(&mut self.buf));
             let read = tokio::select! {
                 biased;
-                () = revoked => return Err(BrokenBody),
+                () = revoked => return Err(BrokenBody::QuotaRevoked),
                 Ok(()) = self.phases.changed() => continue,
                 read = read => read,
             };
@@ -133,7 +146,8 @@
                     self.received += read;
                     self.waiting_since = None;
                 }
-                _ => return Err(BrokenBody),
+                Ok(_) => return Err(BrokenBody::ConnectionEnded),
+                Err(_) => return Err(late),
             }
         }
     }
--- a/crates/node/src/upstream/tests/cut_values.rs
+++ b/crates/node/src/upstream/tests/cut_values.rs
@@ -42,7 +42,7 @@
     let start = Instant::now();
     let (mut body, _peer) =
         partial_value(&UpstreamCall { client_deadline: start + WAIT, ..test_call(READ) }).await;
-    assert!(read_to_end(&mut body).await.is_err());
+    assert_eq!(read_to_end(&mut body).await, Err(BrokenBody::ServerTooSlow));
     assert_eq!(start.elapsed(), HANG_TIMEOUT);
 }
 
@@ -73,7 +73,7 @@
     };
     let start = Instant::now();
     let (result, ()) = tokio::join!(read_to_end(&mut body), stop);
-    assert!(result.is_err());
+    assert_eq!(result, Err(BrokenBody::ProcessEnds));
     assert_eq!(start.elapsed(), 2 * WAIT);
 }
 
--- a/crates/node/src/upstream/tests/long_values.rs
+++ b/crates/node/src/upstream/tests/long_values.rs
@@ -37,7 +37,8 @@
         match body.next().await {
             Ok(Some(piece)) => received += piece.len(),
             Ok(None) => break false,
-            Err(BrokenBody) => break true,
+            Err(BrokenBody::ServerTooSlow) => break true,
+            Err(other) => panic!("{other}"),
         }
     };
     drop(body);
