Serve what clients send on a connection that is to end, up to a moment between requests

Cause: from the time to close on, a connection with open requests read nothing more (read_limit was 0, and final_read_done marked the last look as done while answers were owed), waited for their answers and ended over what lay unread. A request is taken when its last byte is at the node's machine, and a connection with open requests is not between requests. Drains, stops beside a successor and connections that make room went the same way.

A connection ends only when nothing is owed, in hand or in the system's buffer. When no time is left to serve, commands are refused at once, with no attempt, which makes that moment for a client without pauses; input without end is cut after 1 MiB. In a stop an ended connection lingers no longer than 0.05 s behind the last answers, so that the process still ends ahead of the kill.

--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -108,8 +108,8 @@
                 let left = self.deadline(&command, at).saturating_duration_since(self.event_time);
                 requests::log_withdrawn(id, &command, left);
             }
-            Message::Request { id, command, at, reply, gone } => {
-                self.start_request(id, command, at, reply, gone)
+            Message::Request { id, command, at, admission, reply, gone } => {
+                self.start_request(id, command, at, admission, reply, gone)
             }
             Message::ClientLeft(id) => {
                 if self.take_reply(id).is_some() {
--- a/crates/node/src/driver/requests.rs
+++ b/crates/node/src/driver/requests.rs
@@ -12,7 +12,7 @@
 
 use super::state::{ActiveRequest, Attempt, Driver, Timer};
 use crate::answer::Answer;
-use crate::message::DisconnectFlag;
+use crate::message::{Admission, DisconnectFlag};
 use crate::metrics::{RequestGuard, RequestOutcome};
 use crate::upstream::ServedAnswer;
 
@@ -20,12 +20,14 @@
 const MARGIN: Duration = Duration::from_millis(2);
 
 impl Driver {
-    /// Starts a request, or answers it at once where its class is unknown, its id is in use or its time is over.
+    /// Starts a request, or answers it at once where its class is unknown, its id is in use, its time is over or it is
+    /// not admitted.
     pub(super) fn start_request(
         &mut self,
         id: RequestId,
         command: Command,
         at: Instant,
+        admission: Admission,
         reply: oneshot::Sender<Answer>,
         gone: DisconnectFlag,
     ) {
@@ -39,8 +41,9 @@
         }
         let request_guard = self.metrics.start_request(class.0);
         let deadline = self.deadline(&command, at);
-        if deadline <= self.event_time {
-            // The deadline passed while the client was writing the request. It gets an answer and no attempt.
+        if deadline <= self.event_time || admission == Admission::Refuse {
+            // Either the deadline passed while the client was writing the request, or its connection has to end. It
+            // gets an answer and no attempt.
             log_answer(id, &command, RequestOutcome::Rejected, Duration::ZERO);
             let busy = protocol::busy(None).into();
             return drop(reply.send(Answer::final_answer(request_guard, busy, RequestOutcome::Rejected)));
--- a/crates/node/src/driver/tests.rs
+++ b/crates/node/src/driver/tests.rs
@@ -10,8 +10,8 @@
 use crate::budget::Budget;
 use crate::clock::Clock;
 use crate::lifecycle::Lifecycle;
-use crate::message::DisconnectFlag;
-use crate::metrics::Metrics;
+use crate::message::{Admission, DisconnectFlag};
+use crate::metrics::{Metrics, RequestOutcome};
 use crate::stop::ShutdownTimes;
 use crate::upstream::tests::{test_call, READ};
 use crate::upstream::{Bounds, Upstream};
@@ -84,7 +84,17 @@
     let mut text = bytes::BytesMut::from(&format!("mg k v O{opaque} Pc=read,d=60000\r\n")[..]);
     let Some(Input::Command(command)) = next_input(&mut text) else { panic!("a command") };
     let (reply, answer) = oneshot::channel();
-    (Message::Request { id, command: *command, at: Instant::now(), reply, gone }, answer)
+    (
+        Message::Request {
+            id,
+            command: *command,
+            at: Instant::now(),
+            admission: Admission::Serve,
+            reply,
+            gone,
+        },
+        answer,
+    )
 }
 
 /// A client disconnects while its withdrawal waits in the queue behind other messages: no attempt is sent for its
@@ -177,6 +187,20 @@
     assert!(driver.timers.iter().any(by), "the backstop fails the request by then");
 }
 
+/// A request whose connection has no time left is answered at once and counted as rejected, without an attempt.
+#[tokio::test]
+async fn a_request_that_is_not_admitted_is_rejected_without_an_attempt() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (mut driver, _inbox, _) = driver(&settings(), listener.local_addr().unwrap());
+    let (message, mut answer) = request_message(RequestId(1), "a", DisconnectFlag::default());
+    let Message::Request { id, command, at, reply, gone, .. } = message else { unreachable!() };
+    driver.handle_message(Message::Request { id, command, at, admission: Admission::Refuse, reply, gone });
+    let answer = answer.try_recv().unwrap();
+    assert_eq!(answer.text, hallpin_protocol::busy(None));
+    assert!(matches!(answer.request_end, Some((_, RequestOutcome::Rejected))));
+    assert!(driver.requests.is_empty() && driver.open_opaques.is_empty());
+}
+
 /// The final answer ends attempts that still wait for a connection, even if cancelling is not allowed.
 #[tokio::test]
 async fn nothing_is_sent_after_the_final_answer() {
--- a/crates/node/src/frontend/client.rs
+++ b/crates/node/src/frontend/client.rs
@@ -13,6 +13,7 @@
 
 use super::input::{command_ids, InputBuffer};
 use super::shared::{Frontend, Rank};
+use super::stage::Stage;
 use crate::answer::Answer;
 use crate::budget::MemoryReservation;
 use crate::lifecycle::Phase;
@@ -90,8 +91,10 @@
     pub(super) is_trusted: bool,
     /// Input is available that is not read for now.
     pub(super) has_unread_input: bool,
-    /// The final read of input has been done, for what arrived as the connection was about to end.
-    pub(super) final_read_done: bool,
+    /// How far the connection has come towards its end.
+    pub(super) stage: Stage,
+    /// Bytes read while the connection had to end.
+    pub(super) bytes_read_at_end: usize,
     /// Bytes discarded after the input was closed.
     pub(super) bytes_discarded: usize,
     /// The reason to log for commands that get no answer, or only an error.
@@ -144,7 +147,8 @@
             making_room: false,
             is_trusted: false,
             has_unread_input: false,
-            final_read_done: false,
+            stage: Stage::Open,
+            bytes_read_at_end: 0,
             bytes_discarded: 0,
             abandon_reason: AbandonReason::ClientGone,
         }
--- a/crates/node/src/frontend/closing.rs
+++ b/crates/node/src/frontend/closing.rs
@@ -9,12 +9,13 @@
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
-use tokio::time::{timeout, Instant};
+use tokio::time::{timeout_at, Instant};
 
 use super::client::{AbandonReason, Client, PendingAnswer};
 use super::input::MAX_READ_AHEAD_BYTES;
 use super::shared::{EvictionEntry, Rank};
-use crate::lifecycle::{LifecycleState, Phase};
+use crate::lifecycle::Phase;
+use crate::stop::LAST_LINGER;
 
 /// How long, and how many bytes of, input is read and discarded after the last answer.
 pub(super) const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
@@ -23,51 +24,42 @@
 const FINAL_READ_BYTES: usize = 4096;
 
 impl Client {
-    /// When a connection between requests is closed while clients are sent away. Until then it is used as usual; one
-    /// that is opened later gets its first answer, unless the process will have ended by then.
-    pub(super) fn closes_at(&self, phase: &Phase) -> Option<Instant> {
-        let (drain_start, closes_at) = (phase.draining_since()?, phase.close_idle_at()?);
-        if phase.has_successor {
-            // If another process accepts the client at once, a close right after an answer crosses with no request.
-            return Some(self.last_answer_at.filter(|at| *at >= drain_start).unwrap_or(closes_at));
-        }
-        let is_new = self.opened_at >= closes_at
-            && phase.state == LifecycleState::Draining
-            && self.last_answer_at.is_none();
-        (!is_new).then_some(closes_at)
-    }
-
     /// Whether a partial command is abandoned when the connection ends. A client without a valid request has
     /// no claim to the time, and after the process's last answer none can be given.
-    pub(super) fn abandons_partial_command(&self, phase: &Phase) -> bool {
-        (self.ending && !self.is_trusted) || phase.answer_deadline.is_some_and(|at| at <= Instant::now())
+    pub(super) fn abandons_partial_command(&self, phase: &Phase, now: Instant) -> bool {
+        (self.ending && !self.is_trusted) || phase.answer_deadline.is_some_and(|at| at <= now)
     }
 
     /// Answers an abandoned partial command: the client may have sent the remainder, and a request that was read in
     /// part must be answered.
     pub(super) fn reject_partial_command(&mut self) {
-        self.close_input(if self.making_room { AbandonReason::MadeRoom } else { AbandonReason::Stopping });
+        self.close_input(self.end_reason());
         self.pending.push_back(PendingAnswer::Ready(protocol::busy(None)));
     }
 
-    /// Reads once what has just arrived and the runtime may not have reported yet, since a command must not cross
-    /// with a close that this end chooses; returns whether nothing had arrived. Reads only once, or a client that
-    /// sends without pause would never be closed, but up to the longest command, as the unread part of a command
-    /// would be lost all the same.
-    pub(super) fn no_input_arrived(&mut self) -> bool {
-        if std::mem::replace(&mut self.final_read_done, true) {
-            return true;
+    /// Why commands are given up on a connection that ends.
+    pub(super) fn end_reason(&self) -> AbandonReason {
+        if self.making_room {
+            AbandonReason::MadeRoom
+        } else {
+            AbandonReason::Stopping
         }
-        let (mut chunk, mut nothing_read) = ([0; FINAL_READ_BYTES], true);
+    }
+
+    /// Reads what has arrived and the runtime may not have reported yet, since a command must not cross with a close
+    /// that this end chooses; returns whether anything had arrived. Reads up to the longest command, as the unread
+    /// part of a command would be lost all the same.
+    pub(super) fn read_last_input(&mut self) -> bool {
+        let (mut chunk, mut total) = ([0; FINAL_READ_BYTES], 0);
         while self.input.len() < MAX_READ_AHEAD_BYTES {
             let read = (&*SockRef::from(&self.stream)).read(&mut chunk).unwrap_or(0);
             self.append_input(&chunk[..read]);
-            nothing_read &= read == 0;
+            total += read;
             if read < chunk.len() {
                 break;
             }
         }
-        nothing_read
+        total > 0
     }
 
     /// Closes the connection between requests. If descriptors are short, by the budget or because the system has no
@@ -110,6 +102,12 @@
         }
     }
 
+    /// Until when a connection that ends at `now` lingers: in a stop no longer than the process needs.
+    fn linger_until(&self, now: Instant) -> Instant {
+        let last_linger = self.phases.borrow().answer_deadline.map(|at| at + LAST_LINGER);
+        last_linger.filter(|at| *at > now).map_or(now + LINGER_TIMEOUT, |at| at.min(now + LINGER_TIMEOUT))
+    }
+
     /// Lingering close: shuts down writing and discards for a while what the client still sends. None of it is
     /// forwarded.
     pub(super) async fn linger(&mut self) {
@@ -117,6 +115,7 @@
             return;
         }
         let frontend = self.frontend.clone();
+        let linger_until = self.linger_until(Instant::now());
         let close = self.close.clone();
         let _entry = EvictionEntry::take(&frontend, (Rank::Closing, self.sequence), self.idle_since, &close);
         let drain = async {
@@ -135,7 +134,7 @@
             }
         };
         tokio::select! {
-            _ = timeout(LINGER_TIMEOUT, drain) => {}
+            _ = timeout_at(linger_until, drain) => {}
             () = close.notified() => {}
         }
     }
--- a/crates/node/src/frontend/commands.rs
+++ b/crates/node/src/frontend/commands.rs
@@ -9,11 +9,15 @@
 use super::client::{AbandonReason, Client, PendingAnswer};
 use super::closing::MAX_LINGER_BYTES;
 use super::input::{MAX_READ_AHEAD_BYTES, MIN_READ_AHEAD_BYTES};
+use super::stage::Stage;
 use crate::lifecycle::LifecycleState;
-use crate::message::Message;
+use crate::message::{Admission, Message};
 
 /// Commands of one connection that may be in flight at once; further ones wait.
 const MAX_PIPELINE: usize = 64;
+/// Input that is still answered on a connection that must end, so that a client that sends without pause cannot keep
+/// it open: many times what a client has on its way.
+pub(super) const MAX_INPUT_AT_END_BYTES: usize = 1 << 20;
 /// Unsent output at which further answers and commands of a slow reader wait.
 pub(super) const MAX_UNSENT_BYTES: usize = 128 * 1024;
 
@@ -23,18 +27,29 @@
         self.frontend.budget.has_free_memory() || self.pending.is_empty()
     }
 
-    /// Whether the next command may be started. While the connection is ending, the error delay does not apply.
-    fn may_start_command(&self, now: Instant, closing: bool) -> bool {
-        let delayed = self.paused_until > now && !closing;
+    /// Whether no command is started yet, as an earlier one was invalid. The delay does not keep a connection from
+    /// its end.
+    pub(super) fn is_delayed(&self, now: Instant) -> bool {
+        self.paused_until > now && !self.has_input_limit()
+    }
+
+    /// Whether the connection must end however much its client sends. In a stop or drain it is used as usual at
+    /// first.
+    fn has_input_limit(&self) -> bool {
+        self.ending || self.stage == Stage::Refusing
+    }
+
+    /// Whether the next command may be started.
+    fn may_start_command(&self, now: Instant) -> bool {
         let has_capacity =
             self.pending.len() < MAX_PIPELINE && self.output.len() < MAX_UNSENT_BYTES && self.has_room();
-        !self.input_closed && !delayed && has_capacity
+        !self.input_closed && !self.is_delayed(now) && has_capacity
     }
 
     /// Starts the complete commands while there is capacity; the others wait until an answer on this connection frees
     /// capacity.
-    pub(super) fn start_commands(&mut self, now: Instant, closing: bool) {
-        while self.may_start_command(now, closing) {
+    pub(super) fn start_commands(&mut self, now: Instant) {
+        while self.may_start_command(now) {
             let Some((input, at)) = self.input.take_command() else { break };
             self.command_since = (!self.input.is_empty()).then_some(now);
             let pending = self.start_command(input, at);
@@ -56,8 +71,12 @@
                 let weight = command.memory_bytes() + MAX_BUFFERED_VALUE_BYTES;
                 frontend.budget.reserve(weight);
                 let (command, gone) = (*command, self.gone.clone());
+                let admission = match self.stage {
+                    Stage::Refusing => Admission::Refuse,
+                    Stage::Open | Stage::Closing | Stage::Flushing => Admission::Serve,
+                };
                 // The driver ends only with the process.
-                let _ = frontend.driver.send(Message::Request { id, command, at, reply, gone });
+                let _ = frontend.driver.send(Message::Request { id, command, at, admission, reply, gone });
                 PendingAnswer::Waiting { id, weight, answer }
             }
             Input::HealthCheck if frontend.lifecycle.state() == LifecycleState::Ready => {
@@ -74,18 +93,13 @@
     }
 
     /// Number of bytes to read now. Reading continues while commands wait, because the client's disconnect shows only
-    /// after them. While the connection is ending no new command is begun: the client sends unread ones again
-    /// elsewhere.
-    pub(super) fn read_limit(&self, closing: bool) -> usize {
+    /// after them.
+    pub(super) fn read_limit(&self) -> usize {
         if self.input_closed {
             return MAX_LINGER_BYTES.saturating_sub(self.bytes_discarded);
         }
         let max_buffered = if self.has_room() { MAX_READ_AHEAD_BYTES } else { MIN_READ_AHEAD_BYTES };
-        match closing {
-            true if self.input.is_empty() || self.input.has_waiting_commands() => 0,
-            true => self.input.missing_bytes(),
-            false => max_buffered.saturating_sub(self.input.len()),
-        }
+        max_buffered.saturating_sub(self.input.len())
     }
 
     /// Appends bytes that were read apart from the event loop.
@@ -110,6 +124,12 @@
             self.bytes_discarded += read;
             return self.input.clear();
         }
+        if self.has_input_limit() {
+            self.bytes_read_at_end += read;
+            if self.bytes_read_at_end > MAX_INPUT_AT_END_BYTES {
+                return self.close_input(self.end_reason());
+            }
+        }
         self.command_since.get_or_insert_with(Instant::now);
         self.input_reservation.set(self.input.len());
         if !self.frontend.budget.has_free_memory() {
--- a/crates/node/src/frontend/input.rs
+++ b/crates/node/src/frontend/input.rs
@@ -136,11 +136,6 @@
         command_ids(&self.bytes)
     }
 
-    /// Number of bytes still to come that certainly belong to the partial command.
-    pub(super) fn missing_bytes(&self) -> usize {
-        protocol::min_missing_bytes(&self.bytes)
-    }
-
     /// Discards the input. The buffer is replaced, as it keeps the size of the largest command that it held.
     pub(super) fn clear(&mut self) {
         *self = InputBuffer { unread_since: self.unread_since, ..InputBuffer::new() };
--- a/crates/node/src/frontend/mod.rs
+++ b/crates/node/src/frontend/mod.rs
@@ -7,6 +7,7 @@
 mod output;
 mod serve;
 mod shared;
+mod stage;
 #[cfg(test)]
 mod tests;
 
--- a/crates/node/src/frontend/serve.rs
+++ b/crates/node/src/frontend/serve.rs
@@ -45,17 +45,18 @@
         loop {
             let now = Instant::now();
             let phase = *self.phases.borrow_and_update();
-            let closes_at = self.closes_at(&phase);
-            let closing = self.ending || closes_at.is_some_and(|at| at <= now);
-            self.start_commands(now, closing);
+            let stage_times = self.stage_times(&phase);
+            self.stage = self.stage_at(&stage_times, now);
+            self.start_commands(now);
             let (owes_answers, is_idle) = (self.owes_answers(), self.is_between_requests());
-            // What arrives while the last answers are being sent is left unread, for the client to send elsewhere.
-            self.final_read_done = closing && (self.final_read_done || owes_answers);
             if self.input_closed && !owes_answers {
                 return self.close_after_answers().await;
             }
-            if closing && !owes_answers && (is_idle || self.abandons_partial_command(&phase)) {
-                if !self.no_input_arrived() {
+            let may_end = self.stage.ends_between_requests() && !owes_answers;
+            if may_end && (is_idle || self.abandons_partial_command(&phase, now)) {
+                if self.read_last_input() {
+                    // A client that sends without pause must not keep the others waiting.
+                    tokio::task::yield_now().await;
                     continue;
                 }
                 if is_idle {
@@ -81,7 +82,7 @@
             let may_evict = stalled || (!owes_answers && (is_idle || queued || !self.is_trusted));
             let eviction_entry = may_evict
                 .then(|| EvictionEntry::take(&frontend, (rank, self.sequence), self.idle_since, &self.close));
-            let read_limit = self.read_limit(closing);
+            let read_limit = self.read_limit();
             self.has_unread_input &= read_limit == 0;
             if queued || read_limit == 0 {
                 // Input that the node leaves unread or waiting is not the client's delay.
@@ -90,9 +91,8 @@
             let command_due = self.command_since.map(|at| at + COMMAND_TIMEOUT);
             let idle_deadline =
                 (is_idle && self.command_since.is_none()).then_some(self.idle_since + IDLE_TIMEOUT);
-            // The next time in a stop: to close between requests, and after that to abandon a partial command.
-            let next_stage = if closing { phase.answer_deadline.filter(|at| *at > now) } else { closes_at };
-            let delay_ends = (queued && !closing).then_some(self.paused_until).filter(|at| *at > now);
+            let next_stage = stage_times.next_after(now);
+            let delay_ends = (queued && self.is_delayed(now)).then_some(self.paused_until);
             let stall_deadline = self.stall_deadline();
             let output_deadline = if stalled { stall_deadline } else { stall_deadline.min(evictable_at) };
             let (reader, mut writer) = self.stream.split();
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -30,6 +30,14 @@
     }
 }
 
+/// Whether a request may still be served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    Serve,
+    /// Its connection has to end and no time is left: it gets its answer, and no attempt.
+    Refuse,
+}
+
 /// Messages to the driver.
 pub enum Message {
     /// A client has sent a complete command.
@@ -39,6 +47,7 @@
         /// When the first byte of the command was read, or was seen waiting to be read. The client's deadline counts
         /// from here, or from the start of a scheduling delay in which the byte may have arrived.
         at: Instant,
+        admission: Admission,
         reply: oneshot::Sender<Answer>,
         gone: DisconnectFlag,
     },
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -14,6 +14,9 @@
 const KILL_GRACE: Duration = Duration::from_millis(700);
 /// Safety margin by which the node finishes ahead of the kill.
 const KILL_MARGIN: Duration = Duration::from_millis(100);
+/// Time behind the last answers until connections that have ended and only discard input are closed, so that the
+/// process ends by itself ahead of the kill.
+pub const LAST_LINGER: Duration = Duration::from_millis(50);
 
 /// Times of a shutdown, counted from SIGTERM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
