Let a stopping process finish the long values that their cache servers still give

Cause: BodyStream::next took the time of the last answers for the time at which a value has to be whole, whether its server was giving or silent. The process's own limit, 10 s behind the last answers, would have cut values too.

Change: the time of the last answers counts for a value as its client's deadline does: only a server that has then sent nothing for 1 s is given up. The process goes on within the limits of transfer.rs, which stood twice, and over all the time that the longest value takes at the minimum rate. For a request that comes later than 0.6 s after SIGTERM, which the kill does not excuse, no long value is begun: it fails. "stopped" in the log tells an end from a kill.

--- a/crates/node/src/driver/attempts.rs
+++ b/crates/node/src/driver/attempts.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use hallpin_balancer::*;
+use hallpin_protocol as protocol;
 use tokio::time::Instant;
 use tracing::debug;
 
@@ -129,13 +130,26 @@
             entry.executions.record_never_ran(attempt);
         }
         let started_at = entry.started_at;
-        if let Some(answer) = ended.answer {
-            self.answer(id, answer, RequestOutcome::Completed);
+        let request_started_at = active.started_at;
+        match ended.answer {
+            // Once its beginning is passed on, nothing but the rest can follow it.
+            Some(answer) if answer.body.is_some() && self.must_answer_whole(request_started_at) => {
+                self.answer(id, protocol::FAILED.into(), RequestOutcome::Failed);
+            }
+            Some(answer) => {
+                self.answer(id, answer, RequestOutcome::Completed);
+            }
+            None => {}
         }
         self.report_outcome(id, attempt, ended.status, ended.note, started_at);
         self.clean_up(id);
     }
 
+    /// Whether a request that started at `started_at` must have its whole answer before the process is killed.
+    fn must_answer_whole(&self, started_at: Instant) -> bool {
+        self.lifecycle.phase().whole_answers_from.is_some_and(|from| started_at >= from)
+    }
+
     /// Reports the outcome of an attempt to the control plane, the log and the balancer.
     pub(super) fn report_outcome(
         &mut self,
--- a/crates/node/src/driver/requests.rs
+++ b/crates/node/src/driver/requests.rs
@@ -63,7 +63,14 @@
         self.timers.push(Reverse((backstop, Timer::Backstop(id.0))));
         self.open_opaques.insert(command.opaque());
         let (command, reply) = (Rc::new(command), Some((reply, request_guard)));
-        let active = ActiveRequest { command, deadline, reply, attempts: Vec::new(), gone };
+        let active = ActiveRequest {
+            command,
+            started_at: self.event_time,
+            deadline,
+            reply,
+            attempts: Vec::new(),
+            gone,
+        };
         self.requests.insert(id, active);
         self.handle_event(Event::Request(new));
     }
--- a/crates/node/src/driver/state.rs
+++ b/crates/node/src/driver/state.rs
@@ -42,6 +42,7 @@
 /// A request from its arrival until its answer is given and its last attempt has ended.
 pub(super) struct ActiveRequest {
     pub(super) command: Rc<Command>,
+    pub(super) started_at: Instant,
     /// When the client stops waiting.
     pub(super) deadline: Instant,
     /// Taken when the final answer is given or the client disconnects.
--- a/crates/node/src/frontend/mod.rs
+++ b/crates/node/src/frontend/mod.rs
@@ -20,7 +20,7 @@
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 use client::Client;
-pub use output::{error_delay, STALL_TIMEOUT};
+pub use output::error_delay;
 pub use shared::Frontend;
 use shared::{EvictionCandidate, Rank};
 
--- a/crates/node/src/frontend/output.rs
+++ b/crates/node/src/frontend/output.rs
@@ -11,6 +11,7 @@
 use super::client::{AbandonReason, Client};
 use crate::answer::Answer;
 use crate::metrics::{RequestGuard, RequestOutcome};
+use crate::transfer::{time_at_min_rate, STALL_TIMEOUT};
 use crate::upstream::BrokenBody;
 
 /// Longest delay before the next command of a client whose command was invalid: it would retry at once.
@@ -22,12 +23,6 @@
     MAX_ERROR_DELAY.min(shortest / 10)
 }
 
-/// The connection of a client that reads nothing of its answers for this long is closed.
-pub const STALL_TIMEOUT: Duration = Duration::from_secs(10);
-/// Minimum rate, beyond the first stall timeout, at which a client reads its answers: one that reads a byte just
-/// within each timeout would otherwise hold its connection forever.
-const MIN_RATE_BYTES_PER_S: f64 = 16.0 * 1024.0;
-
 impl Client {
     /// Queues the answer to the oldest command; its request ends with the last byte.
     pub(super) fn queue_answer(&mut self, answer: Answer) {
@@ -101,7 +96,7 @@
     /// When the client will have read too little of its answers for too long. What it sends meanwhile does not count.
     pub(super) fn stall_deadline(&self) -> Instant {
         let (since, written) = self.unsent_since;
-        let allowed = Duration::from_secs_f64((self.bytes_written - written) as f64 / MIN_RATE_BYTES_PER_S);
+        let allowed = time_at_min_rate(self.bytes_written - written);
         self.last_written_at.min(since + allowed) + STALL_TIMEOUT
     }
 
--- a/crates/node/src/frontend/tests/bounds.rs
+++ b/crates/node/src/frontend/tests/bounds.rs
@@ -17,8 +17,8 @@
 use crate::config::Limits;
 use crate::frontend::closing::{LINGER_TIMEOUT, MAX_LINGER_BYTES};
 use crate::frontend::shared::{EvictionEntry, Rank, LONG_IDLE};
-use crate::frontend::STALL_TIMEOUT;
 use crate::message::Message;
+use crate::transfer::STALL_TIMEOUT;
 
 /// The number of bytes that a client gets of an answer of `length` bytes if it reads nothing for `pause` and then all
 /// it can. Runs on the paused clock, so the kernel's buffers fill and only the node's timers wait. The clock is held
--- a/crates/node/src/frontend/tests/slow_readers.rs
+++ b/crates/node/src/frontend/tests/slow_readers.rs
@@ -13,8 +13,8 @@
 use super::{frontend, settle, with_client, with_clock_held};
 use crate::answer::Answer;
 use crate::config::Limits;
-use crate::frontend::STALL_TIMEOUT;
 use crate::message::Message;
+use crate::transfer::STALL_TIMEOUT;
 
 const SECOND: Duration = Duration::from_secs(1);
 const KIB: usize = 1024;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,6 +24,7 @@
 mod succession;
 mod system_error;
 mod takeover;
+mod transfer;
 mod upstream;
 
 use std::path::PathBuf;
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -57,6 +57,9 @@
     close_idle_after: Duration,
     /// Time by which the last answer must be given, if the process ends.
     pub answer_deadline: Option<Instant>,
+    /// Time from which requests must be answered whole before the kill, if the process ends; of an earlier one the kill
+    /// may cut off what its cache server still gives.
+    pub whole_answers_from: Option<Instant>,
 }
 
 impl Phase {
@@ -98,6 +101,7 @@
             has_successor: false,
             close_idle_after: DRAIN_CLOSE_AFTER,
             answer_deadline: None,
+            whole_answers_from: None,
         };
         Rc::new(Lifecycle { phase: watch::Sender::new(phase) })
     }
@@ -150,7 +154,9 @@
                     times.close_idle_after
                 };
                 let answer_deadline = Some(phase.since + times.finish_after);
-                *phase = Phase { has_successor, close_idle_after, answer_deadline, ..*phase };
+                let whole_answers_from = Some(phase.since + times.close_idle_after);
+                *phase =
+                    Phase { has_successor, close_idle_after, answer_deadline, whole_answers_from, ..*phase };
             });
         }
     }
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -284,10 +284,11 @@
         };
         tokio::select! {
             () = finish => {}
-            // Slow clients may take longer than the platform waits, but answers cut off here would be lost.
-            () = sleep(times.finish_after + frontend::STALL_TIMEOUT) => warn!(target: LOG_TARGET, "exiting with clients still connected"),
+            // Values on their way may take longer than the platform waits, but what is cut off here would be lost.
+            () = sleep(times.exit_after()) => warn!(target: LOG_TARGET, "exiting with clients still connected"),
             _ = driver => return Err(Failure::DriverEnded),
         }
+        info!(target: LOG_TARGET, "stopped");
         // Left only after the last answer: until then the node uses the leases that it holds.
         if let Some(plane_runtime) = self.plane_runtime {
             plane_runtime.leave();
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -6,6 +6,10 @@
 
 use std::time::Duration;
 
+use hallpin_protocol::MAX_VALUE_BYTES;
+
+use crate::transfer::{time_at_min_rate, STALL_TIMEOUT};
+
 /// Cap on the longest deadline that the platform waits for: the kill comes no sooner after SIGTERM than the longest
 /// deadline, limited to this, plus [`KILL_GRACE`].
 const MAX_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
@@ -39,6 +43,12 @@
         }
     }
 
+    /// Time until the process ends with connections still open: the longest value that was on its way when the last
+    /// answers were given has arrived by then.
+    pub fn exit_after(&self) -> Duration {
+        self.finish_after + STALL_TIMEOUT + time_at_min_rate(MAX_VALUE_BYTES as u64)
+    }
+
     /// Time until idle connections are closed if another process accepts at this address. A connection closed right
     /// after an answer cannot cross with a request, so the node waits for idle clients to send once more, until half
     /// of the remaining time is left for that request.
--- a/crates/node/src/upstream/body_stream.rs
+++ b/crates/node/src/upstream/body_stream.rs
@@ -14,18 +14,14 @@
 use super::pool::Upstream;
 use crate::budget::MemoryReservation;
 use crate::lifecycle::Phase;
+use crate::transfer::{time_at_min_rate, STALL_TIMEOUT};
 
 /// Buffer space reserved for a read, so that a long value does not arrive in many small ones.
 pub(super) const READ_CHUNK_BYTES: usize = 8 * 1024;
-/// A cache server that sends nothing of a requested value for this long is considered dead.
-pub(super) const STALL_TIMEOUT: Duration = Duration::from_secs(10);
-/// Minimum rate of a long value while waiting for the server, beyond the first stall timeout: a server that sends one
-/// byte just within each timeout would otherwise hold a connection at both ends forever. For the longest value (4
-/// MiB) this allows some four minutes of waiting.
-const MIN_RATE_BYTES_PER_S: f64 = 16.0 * 1024.0;
 
-/// After the client's deadline, a server that has sent nothing for this long is considered dead. One that still sends,
-/// however slowly, is not cut: the node would lose what the server was about to finish.
+/// After the client's deadline, or when this process should have given its last answers, a server that has sent nothing
+/// for this long is considered dead. One that still sends, however slowly, is not cut: the node would lose what the
+/// server was about to finish.
 pub(super) const HANG_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Why the rest of a long value does not reach its client.
@@ -37,8 +33,6 @@
     MissingTerminator,
     #[error("the cache server sent nothing, or too little, for too long")]
     ServerTooSlow,
-    #[error("the process ends")]
-    ProcessEnds,
     #[error("the quota of the cache server's connection was revoked")]
     QuotaRevoked,
 }
@@ -52,7 +46,8 @@
     buf: BytesMut,
     /// Bytes of the value that have not been returned yet.
     remaining: usize,
-    /// When the client stops waiting, and the phases of this process, which tell when the process ends.
+    /// When the client stops waiting, and the phases of this process, which tell when it should have given its last
+    /// answers.
     deadline: Instant,
     phases: Receiver<Phase>,
     /// When the answer's first line arrived, and when the client's output reached this value: in between the value may
@@ -104,8 +99,8 @@
     /// The next piece, or `None` once the value is complete. Dropping the future loses nothing.
     ///
     /// # Errors
-    /// [`BrokenBody`] if the value ends early, lacks its terminator or takes too long, if the process ends, or if the
-    /// connection's quota is revoked.
+    /// [`BrokenBody`] if the value ends early, lacks its terminator or takes too long, or if the connection's quota is
+    /// revoked.
     pub async fn next(&mut self) -> Result<Option<Bytes>, BrokenBody> {
         let output_reached_at = *self.output_reached_at.get_or_insert_with(Instant::now);
         let deadline = self.deadline + output_reached_at.saturating_duration_since(self.started_at);
@@ -122,15 +117,11 @@
             let waiting_since = *self.waiting_since.get_or_insert_with(Instant::now);
             self.buf.reserve(READ_CHUNK_BYTES);
             let ends = self.phases.borrow_and_update().answer_deadline;
+            let deadline = ends.map_or(deadline, |ends| ends.min(deadline));
             let read_deadline =
                 (waiting_since + self.read_timeout()).min(deadline.max(waiting_since + HANG_TIMEOUT));
-            let (read_deadline, late) = match ends.filter(|ends| *ends < read_deadline) {
-                Some(ends) => (ends, BrokenBody::ProcessEnds),
-                None => (read_deadline, BrokenBody::ServerTooSlow),
-            };
-            // Even if bytes arrived meanwhile, there is nobody left to forward them to.
             if read_deadline <= Instant::now() {
-                return Err(late);
+                return Err(BrokenBody::ServerTooSlow);
             }
             let revoked = self.connection.revoked();
             let read = timeout_at(read_deadline, self.connection.stream.read_buf(&mut self.buf));
@@ -147,7 +138,7 @@
                     self.waiting_since = None;
                 }
                 Ok(_) => return Err(BrokenBody::ConnectionEnded),
-                Err(_) => return Err(late),
+                Err(_) => return Err(BrokenBody::ServerTooSlow),
             }
         }
     }
@@ -155,7 +146,7 @@
     /// How long the server may take for its next piece: at most the stall timeout, and no more than keeps the total
     /// wait within the stall timeout plus the time that the bytes received so far take at the minimum rate.
     fn read_timeout(&self) -> Duration {
-        let allowed = STALL_TIMEOUT + Duration::from_secs_f64(self.received as f64 / MIN_RATE_BYTES_PER_S);
+        let allowed = STALL_TIMEOUT + time_at_min_rate(self.received as u64);
         allowed.saturating_sub(self.total_wait).min(STALL_TIMEOUT)
     }
 
--- a/crates/node/src/upstream/call.rs
+++ b/crates/node/src/upstream/call.rs
@@ -47,8 +47,8 @@
     /// Set once the last byte is written; from then on the command may have run.
     pub written: Rc<Cell<bool>>,
     pub gone: DisconnectFlag,
-    /// When the client stops waiting. A long value that is incomplete by then is cut once the server has sent
-    /// nothing for `HANG_TIMEOUT`, and in any case when the process ends (`phases`).
+    /// When the client stops waiting. A long value that is incomplete by then, or when the process should have given
+    /// its last answers (`phases`), is cut once the server has sent nothing for `HANG_TIMEOUT`.
     pub client_deadline: Instant,
     pub phases: Receiver<Phase>,
 }
--- a/crates/node/src/upstream/tests/long_values.rs
+++ b/crates/node/src/upstream/tests/long_values.rs
@@ -4,8 +4,9 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::Instant;
 
-use super::super::body_stream::{BrokenBody, STALL_TIMEOUT};
+use super::super::body_stream::BrokenBody;
 use super::*;
+use crate::transfer::STALL_TIMEOUT;
 
 /// A server that sends `piece` bytes of a long value at each `every`, on the paused clock. Returns how many bytes
 /// arrived, and whether the value ended broken.
--- a/crates/node/tests/harness/server.rs
+++ b/crates/node/tests/harness/server.rs
@@ -5,6 +5,7 @@
 use std::sync::mpsc::{channel, Receiver};
 use std::sync::{Arc, Mutex};
 use std::thread::spawn;
+use std::time::Duration;
 
 use super::TEST_TIMEOUT;
 
@@ -24,6 +25,8 @@
     ServeAfter(Receiver<()>),
     /// Answers with the first bytes and, once the sender has been dropped, with the second.
     ReplyInTwo(Vec<u8>, Receiver<()>, Vec<u8>),
+    /// Answers with the first bytes, and with the rest in pieces of this many, with this pause ahead of each.
+    ReplyInPieces { first: Vec<u8>, rest: Vec<u8>, piece: usize, pause: Duration },
 }
 
 /// Event at a fake cache server, with the number of its connection.
@@ -114,6 +117,13 @@
                     let _ = gate.recv();
                     writer.write_all(&second)?;
                 }
+                ServerAction::ReplyInPieces { first, rest, piece, pause } => {
+                    writer.write_all(&first)?;
+                    for piece in rest.chunks(piece) {
+                        std::thread::sleep(pause);
+                        writer.write_all(piece)?;
+                    }
+                }
                 ServerAction::ServeAfter(gate) => {
                     let _ = gate.recv();
                     writer.write_all(served.as_bytes())?;
