Linger while a client still sends, so that no reset cuts the answers it has yet to read

Cause: the connection was closed a second behind the end of sending, whatever the client did; what it sent then was answered by a reset, which cuts off what the system still holds of the last answers, up to 64 KiB.

A client that sends nothing is closed as before.

Tests: an_answer_that_the_kernel_still_sends_is_not_cut_off_by_input; on the old code it ends in a reset.

--- a/crates/node/src/frontend/closing.rs
+++ b/crates/node/src/frontend/closing.rs
@@ -16,9 +16,12 @@
 use super::shared::{EvictionEntry, Rank};
 use crate::lifecycle::Phase;
 use crate::stop::LAST_LINGER;
+use crate::transfer::STALL_TIMEOUT;
 
 /// How long, and how many bytes of, input is read and discarded after the last answer.
 pub(super) const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a client must have sent nothing after the last answer before its connection is closed.
+const LINGER_QUIET_TIME: Duration = Duration::from_millis(500);
 pub(super) const MAX_LINGER_BYTES: usize = 1 << 20;
 /// Bytes per read when checking for input a last time, and when discarding it.
 const FINAL_READ_BYTES: usize = 4096;
@@ -102,7 +105,8 @@
         }
     }
 
-    /// Until when a connection that ends at `now` lingers: in a stop no longer than the process needs.
+    /// Until when a connection that ends at `now` lingers if its client sends nothing more: in a stop no longer than the
+    /// process needs.
     fn linger_until(&self, now: Instant) -> Instant {
         let last_linger = self.phases.borrow().answer_deadline.map(|at| at + LAST_LINGER);
         last_linger.filter(|at| *at > now).map_or(now + LINGER_TIMEOUT, |at| at.min(now + LINGER_TIMEOUT))
@@ -115,26 +119,31 @@
             return;
         }
         let frontend = self.frontend.clone();
-        let linger_until = self.linger_until(Instant::now());
+        let ended_at = Instant::now();
+        let mut quiet_until = self.linger_until(ended_at);
         let close = self.close.clone();
         let _entry = EvictionEntry::take(&frontend, (Rank::Closing, self.sequence), self.idle_since, &close);
         let drain = async {
             let mut discarded = [0; FINAL_READ_BYTES];
             let mut left = MAX_LINGER_BYTES;
             while left > 0 {
-                match self.stream.read(&mut discarded).await {
-                    Ok(read) if read > 0 => {
+                match timeout_at(quiet_until, self.stream.read(&mut discarded)).await {
+                    Ok(Ok(read)) if read > 0 => {
                         if left == MAX_LINGER_BYTES {
                             self.log_read_after_end(&discarded[..read]);
                         }
                         left = left.saturating_sub(read);
+                        // A client that still sends has not read up to the end: a close would reset the connection
+                        // and cut off the answers that are on their way.
+                        quiet_until = quiet_until.max(Instant::now() + LINGER_QUIET_TIME);
+                        quiet_until = quiet_until.min(ended_at + STALL_TIMEOUT);
                     }
                     _ => return,
                 }
             }
         };
         tokio::select! {
-            _ = timeout_at(linger_until, drain) => {}
+            () = drain => {}
             () = close.notified() => {}
         }
     }
--- a/crates/node/src/frontend/tests/closing.rs
+++ b/crates/node/src/frontend/tests/closing.rs
@@ -5,7 +5,7 @@
 
 use hallpin_protocol as protocol;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
 use tokio::task::LocalSet;
 use tokio::time::{advance, sleep, timeout};
@@ -298,3 +298,46 @@
     })
     .await;
 }
+
+/// Guards against answers cut in a restart (`docs/incidents`): a client that reads its last answer slowly and sends on
+/// gets all of it, also what the kernel still holds when the connection ends.
+#[tokio::test(start_paused = true)]
+async fn an_answer_that_the_kernel_still_sends_is_not_cut_off_by_input() {
+    const LENGTH: usize = 60 * 1024;
+    const RECEIVE_BUFFER_BYTES: u32 = 16 * 1024;
+    let (messages, mut inbox) = unbounded_channel();
+    let frontend = frontend(&Limits::default(), messages);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).unwrap();
+    let address = listener.local_addr().unwrap();
+    let scenario = async {
+        let mut client = socket.connect(address).await.unwrap();
+        client.write_all(READ).await.unwrap();
+        let Some(Message::Request { reply, .. }) = with_clock_held(inbox.recv()).await else {
+            panic!("a request")
+        };
+        assert!(reply.send(Answer::without_request(vec![b'v'; LENGTH].into())).is_ok());
+        settle().await;
+        let times = ShutdownTimes::of(SECOND);
+        frontend.lifecycle.stop(false, times);
+        sleep(times.close_idle_after).await;
+        for _ in 0..8 {
+            settle().await;
+            sleep(SECOND * 2 / 5).await;
+            client.write_all(READ).await.unwrap();
+            settle().await;
+        }
+        let mut answer = Vec::new();
+        let ended = with_clock_held(client.read_to_end(&mut answer)).await;
+        assert_eq!((ended.ok(), answer.len()), (Some(LENGTH), LENGTH));
+        assert!(inbox.try_recv().is_err(), "forwarded");
+    };
+    let serving = async {
+        tokio::select! {
+            () = frontend.clone().accept(&listener) => unreachable!("it accepts forever"),
+            () = scenario => {}
+        }
+    };
+    LocalSet::new().run_until(serving).await;
+}
