Split the node's process by job, and its long test files

Change: the configuration and the clients' listener of process.rs have files of their own; tests of slow readers moved from closing.rs to slow_readers.rs, those of values in a stop to stop_values.rs. Nothing else changed; every test kept its name.

--- a/crates/node/src/frontend/tests/closing.rs
+++ b/crates/node/src/frontend/tests/closing.rs
@@ -5,7 +5,7 @@
 
 use hallpin_protocol as protocol;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
 use tokio::task::LocalSet;
 use tokio::time::{advance, sleep, timeout};
@@ -13,7 +13,7 @@
 use super::{frontend, settle, with_client, with_clock_held};
 use crate::answer::Answer;
 use crate::config::Limits;
-use crate::message::{Admission, Message};
+use crate::message::Message;
 use crate::stop::ShutdownTimes;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -263,81 +263,3 @@
         .await;
     }
 }
-
-/// A client that reads its last answer slowly gets all of it, though it keeps sending: its connection does not end
-/// while the kernel has much of the answer still to send, as input after the end would reset it. What it sends is
-/// refused behind that answer.
-#[tokio::test(start_paused = true)]
-async fn a_last_answer_that_is_read_slowly_is_not_cut_off_by_input() {
-    const LENGTH: usize = 1 << 20;
-    with_client(&Limits::default(), |mut client, frontend, mut inbox| async move {
-        client.write_all(READ).await.unwrap();
-        let Some(Message::Request { reply, .. }) = with_clock_held(inbox.recv()).await else {
-            panic!("a request")
-        };
-        assert!(reply.send(Answer::without_request(vec![b'v'; LENGTH].into())).is_ok());
-        settle().await;
-        frontend.lifecycle.stop(false, ShutdownTimes::of(SECOND));
-        sleep(3 * SECOND).await;
-        client.write_all(READ).await.unwrap();
-        settle().await;
-        let mut answers = Vec::new();
-        let refuse = async {
-            let Some(Message::Request { admission: Admission::Refuse, reply, .. }) = inbox.recv().await
-            else {
-                panic!("a request that is not to be forwarded")
-            };
-            assert!(reply.send(Answer::without_request(protocol::busy(None))).is_ok());
-        };
-        let (ended, ()) =
-            with_clock_held(async { tokio::join!(client.read_to_end(&mut answers), refuse) }).await;
-        ended.unwrap();
-        assert_eq!(answers.len(), LENGTH + protocol::busy(None).len());
-        assert!(answers.ends_with(&protocol::busy(None)));
-        assert!(inbox.try_recv().is_err(), "forwarded");
-    })
-    .await;
-}
-
-/// Guards against answers cut in a restart (`docs/incidents`): a client that reads its last answer slowly and sends on
-/// gets all of it, also what the kernel still holds when the connection ends.
-#[tokio::test(start_paused = true)]
-async fn an_answer_that_the_kernel_still_sends_is_not_cut_off_by_input() {
-    const LENGTH: usize = 60 * 1024;
-    const RECEIVE_BUFFER_BYTES: u32 = 16 * 1024;
-    let (messages, mut inbox) = unbounded_channel();
-    let frontend = frontend(&Limits::default(), messages);
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let socket = TcpSocket::new_v4().unwrap();
-    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).unwrap();
-    let address = listener.local_addr().unwrap();
-    let scenario = async {
-        let mut client = socket.connect(address).await.unwrap();
-        client.write_all(READ).await.unwrap();
-        let Some(Message::Request { reply, .. }) = with_clock_held(inbox.recv()).await else {
-            panic!("a request")
-        };
-        assert!(reply.send(Answer::without_request(vec![b'v'; LENGTH].into())).is_ok());
-        settle().await;
-        let times = ShutdownTimes::of(SECOND);
-        frontend.lifecycle.stop(false, times);
-        sleep(times.close_idle_after).await;
-        for _ in 0..8 {
-            settle().await;
-            sleep(SECOND * 2 / 5).await;
-            client.write_all(READ).await.unwrap();
-            settle().await;
-        }
-        let mut answer = Vec::new();
-        let ended = with_clock_held(client.read_to_end(&mut answer)).await;
-        assert_eq!((ended.ok(), answer.len()), (Some(LENGTH), LENGTH));
-        assert!(inbox.try_recv().is_err(), "forwarded");
-    };
-    let serving = async {
-        tokio::select! {
-            () = frontend.clone().accept(&listener) => unreachable!("it accepts forever"),
-            () = scenario => {}
-        }
-    };
-    LocalSet::new().run_until(serving).await;
-}
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -1,38 +1,37 @@
 //! Runs the node's process: reads the configuration, creates and connects the components, serves, and shuts down.
 
-use std::cell::Cell;
-use std::net::SocketAddr;
-use std::path::PathBuf;
+mod client_listener;
+mod configuration;
+
 use std::rc::Rc;
 use std::time::Duration;
 
-use hallpin_balancer::Settings;
-use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc::{self, Receiver, UnboundedReceiver, UnboundedSender};
-use tokio::sync::{watch, Notify};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, Instant};
 use tracing::{info, warn};
 
 use crate::budget::Budget;
-use crate::clock::Clock;
-use crate::config::{config_error, Config};
+use crate::config::config_error;
 use crate::discovery::Discovery;
 use crate::driver::{Driver, DriverContext};
-use crate::frontend::{self, Frontend};
+use crate::frontend::Frontend;
 use crate::lifecycle::Lifecycle;
 use crate::message::Message;
 use crate::metrics::Metrics;
 use crate::operator::Operator;
-use crate::plane::{PlaneRuntime, Setup};
+use crate::plane::PlaneRuntime;
 use crate::reload::reload;
 use crate::roster::Roster;
 use crate::stop::ShutdownTimes;
 use crate::succession::{accept, listen, wait_for_turn};
-use crate::takeover::{self, Offer, Predecessor, Successor};
-use crate::upstream::{Bounds, Upstream};
+use crate::takeover::Successor;
+use crate::upstream::Upstream;
 use crate::{Failure, Options};
+use client_listener::ClientListener;
+use configuration::{BoundOperator, Configuration};
 
 /// Log target of the lines about the start and the end of the process.
 const LOG_TARGET: &str = "hallpin_node";
@@ -69,65 +68,6 @@
     node.shut_down(client_listener, driver, shutdown_times).await
 }
 
-/// Options and configuration, read and checked before anything starts.
-struct Configuration {
-    path: PathBuf,
-    config: Config,
-    seed: u64,
-    settings: Settings,
-    operator_address: Option<SocketAddr>,
-    fleet: Option<Setup>,
-    clock: Clock,
-    shutdown_times: ShutdownTimes,
-    error_delay: Duration,
-}
-
-impl Configuration {
-    fn read(options: Options) -> Result<Self, Failure> {
-        let path = Config::path(options.config)?;
-        let config = Config::read(&path)?;
-        let (seed, settings, operator_address) = (config.seed()?, config.settings()?, config.operator()?);
-        let fleet = options.fleet.as_deref().map(|file| Setup::read(file, &config)).transpose()?;
-        let clock = Clock::start();
-        let deadlines = settings.classes.iter().map(|class| class.deadline);
-        let longest = deadlines.clone().fold(0.0, f64::max);
-        let shortest = deadlines.fold(longest, f64::min);
-        let shutdown_times = ShutdownTimes::of(config.seconds("hard-limit-s", longest)?);
-        let error_delay = frontend::error_delay(config.seconds("hard-limit-s", shortest)?);
-        Ok(Configuration {
-            path,
-            config,
-            seed,
-            settings,
-            operator_address,
-            fleet,
-            clock,
-            shutdown_times,
-            error_delay,
-        })
-    }
-
-    fn upstream_bounds(&self) -> Result<Bounds, Failure> {
-        let (limits, guarantees) = (&self.settings.limits, &self.settings.guarantees);
-        Ok(Bounds {
-            dial_timeout: self.config.seconds("limits.dial-timeout-s", limits.connect_timeout)?,
-            idle_timeout: self.config.idle_close()?,
-            grace: self.config.seconds("guarantees.drain-grace-s", guarantees.drain_grace)?,
-        })
-    }
-
-    fn bind_operator(&self) -> Result<Option<BoundOperator>, Failure> {
-        let Some(address) = self.operator_address else { return Ok(None) };
-        Ok(Some(BoundOperator { address, listener: Operator::bind(address)? }))
-    }
-}
-
-/// The operators' address and its listener; `None` if another process still holds it, to be bound later.
-struct BoundOperator {
-    address: SocketAddr,
-    listener: Option<TcpListener>,
-}
-
 /// The driver, the receiver of its messages, and discovery's receiver of poll requests.
 struct Inboxes {
     driver: Driver,
@@ -146,44 +86,6 @@
     messages: UnboundedSender<Message>,
 }
 
-/// The clients' listening socket, and the processes that share it.
-struct ClientListener {
-    listener: Rc<TcpListener>,
-    address: SocketAddr,
-    predecessor: Cell<Option<Predecessor>>,
-    successor: Cell<Option<watch::Sender<Successor>>>,
-    successor_updates: watch::Receiver<Successor>,
-    /// Whether this process has begun to accept: after a takeover it leaves connections to its predecessor at first.
-    accepts: Cell<bool>,
-    closed: Rc<Notify>,
-}
-
-impl ClientListener {
-    fn on(listener: TcpListener, predecessor: Option<Predecessor>) -> Result<Self, Failure> {
-        let address = listener.local_addr().map_err(config_error("listen"))?;
-        info!(target: LOG_TARGET, "listening on {address}");
-        let (successor, successor_updates) = watch::channel(Successor::None);
-        Ok(ClientListener {
-            listener: Rc::new(listener),
-            address,
-            predecessor: Cell::new(predecessor),
-            successor: Cell::new(Some(successor)),
-            successor_updates,
-            accepts: Cell::new(false),
-            closed: Rc::new(Notify::new()),
-        })
-    }
-
-    /// Offers the socket to a process that is started to replace this one.
-    fn offer(&self, budget: Rc<Budget>) {
-        let Some(path) = takeover::socket_path(self.address) else { return };
-        let Some(successor) = self.successor.take() else { return };
-        let socket = Rc::downgrade(&self.listener);
-        let offer = Offer { path, socket, budget, successor, closed: self.closed.clone() };
-        tokio::task::spawn_local(offer.run());
-    }
-}
-
 impl Node {
     /// Creates and connects the components. Nothing runs yet.
     fn build(configuration: &Configuration) -> Result<(Self, Inboxes), Failure> {
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -21,6 +21,7 @@
 mod reloads;
 mod requests;
 mod stop;
+mod stop_values;
 mod takeover;
 mod takeover_stop;
 
