Limit input at the end of a connection only for clients without a valid request

Change: the limit, and the end of the error delay that goes with it, hold for clients without a valid request and where no time is left. A client in use ends at a moment between requests only. Tests of commands behind open ones have a file of their own.

Tests: a_client_in_use_that_makes_room_may_send_without_pause fails without the change ("nothing arrived in time").

--- a/crates/node/src/frontend/commands.rs
+++ b/crates/node/src/frontend/commands.rs
@@ -33,10 +33,10 @@
         self.paused_until > now && !self.has_input_limit()
     }
 
-    /// Whether the connection must end however much its client sends. In a stop or drain it is used as usual at
-    /// first.
+    /// Whether the connection must end however much its client sends: when no time is left, or when a client without
+    /// a valid request makes room. Otherwise a client that sends without pause has its connection in use.
     fn has_input_limit(&self) -> bool {
-        self.ending || self.stage == Stage::Refusing
+        (self.ending && !self.is_trusted) || self.stage == Stage::Refusing
     }
 
     /// Whether the next command may be started.
--- a/crates/node/src/frontend/tests/mod.rs
+++ b/crates/node/src/frontend/tests/mod.rs
@@ -9,6 +9,7 @@
 mod input;
 mod logs;
 mod node;
+mod pipelining;
 mod slow_readers;
 mod slow_writers;
 mod stop;
