--- a/crates/node/src/driver/requests.rs
+++ b/crates/node/src/driver/requests.rs
@@ -41,7 +41,7 @@
         }
         let request_guard = self.metrics.start_request(class.0);
         let deadline = self.deadline(&command, at);
-        if deadline <= self.event_time || admission == Admission::Refuse {
+        if deadline <= self.event_time || admission == Admission::Reject {
             // Either the deadline passed while the client was writing the request, or its connection has to end. It
             // gets an answer and no attempt.
             log_answer(id, &command, RequestOutcome::Rejected, Duration::ZERO);
--- a/crates/node/src/driver/tests.rs
+++ b/crates/node/src/driver/tests.rs
@@ -89,7 +89,7 @@
             id,
             command: *command,
             at: Instant::now(),
-            admission: Admission::Serve,
+            admission: Admission::Admit,
             reply,
             gone,
         },
@@ -194,7 +194,7 @@
     let (mut driver, _inbox, _) = driver(&settings(), listener.local_addr().unwrap());
     let (message, mut answer) = request_message(RequestId(1), "a", DisconnectFlag::default());
     let Message::Request { id, command, at, reply, gone, .. } = message else { unreachable!() };
-    driver.handle_message(Message::Request { id, command, at, admission: Admission::Refuse, reply, gone });
+    driver.handle_message(Message::Request { id, command, at, admission: Admission::Reject, reply, gone });
     let answer = answer.try_recv().unwrap();
     assert_eq!(answer.text, hallpin_protocol::busy(None));
     assert!(matches!(answer.request_end, Some((_, RequestOutcome::Rejected))));
--- a/crates/node/src/frontend/commands.rs
+++ b/crates/node/src/frontend/commands.rs
@@ -36,7 +36,7 @@
     /// Whether the connection must end however much its client sends: when no time is left, or when a client without
     /// a valid request makes room. Otherwise a client that sends without pause has its connection in use.
     fn has_input_limit(&self) -> bool {
-        (self.ending && !self.is_trusted) || self.stage == Stage::Refusing
+        (self.ending && !self.is_trusted) || self.stage == Stage::Rejecting
     }
 
     /// Whether the next command may be started.
@@ -72,8 +72,8 @@
                 frontend.budget.reserve(weight);
                 let (command, gone) = (*command, self.gone.clone());
                 let admission = match self.stage {
-                    Stage::Refusing => Admission::Refuse,
-                    Stage::Open | Stage::Closing | Stage::Flushing => Admission::Serve,
+                    Stage::Rejecting => Admission::Reject,
+                    Stage::Open | Stage::Closing | Stage::Flushing => Admission::Admit,
                 };
                 // The driver ends only with the process.
                 let _ = frontend.driver.send(Message::Request { id, command, at, admission, reply, gone });
--- a/crates/node/src/frontend/stage.rs
+++ b/crates/node/src/frontend/stage.rs
@@ -13,9 +13,9 @@
     Open,
     /// Commands are served. The connection ends as soon as it is between requests.
     Closing,
-    /// Commands are refused at once, as no time is left to serve them. The connection ends as soon as it is between
+    /// Commands are rejected at once, as no time is left to serve them. The connection ends as soon as it is between
     /// requests.
-    Refusing,
+    Rejecting,
     /// Input is discarded. The connection ends as soon as its answers are sent.
     Flushing,
 }
@@ -23,7 +23,7 @@
 impl Stage {
     /// Whether the connection ends as soon as it is between requests.
     pub(super) fn ends_between_requests(self) -> bool {
-        matches!(self, Stage::Closing | Stage::Refusing)
+        matches!(self, Stage::Closing | Stage::Rejecting)
     }
 }
 
@@ -31,7 +31,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct StageTimes {
     pub(super) closing_at: Option<Instant>,
-    pub(super) refusing_at: Option<Instant>,
+    pub(super) rejecting_at: Option<Instant>,
 }
 
 impl StageTimes {
@@ -39,7 +39,7 @@
     fn stage(&self, now: Instant) -> Stage {
         let is_past = |at: Option<Instant>| at.is_some_and(|at| at <= now);
         match () {
-            () if is_past(self.refusing_at) => Stage::Refusing,
+            () if is_past(self.rejecting_at) => Stage::Rejecting,
             () if is_past(self.closing_at) => Stage::Closing,
             () => Stage::Open,
         }
@@ -47,7 +47,7 @@
 
     /// When the connection moves on next.
     pub(super) fn next_after(&self, now: Instant) -> Option<Instant> {
-        [self.closing_at, self.refusing_at].into_iter().flatten().filter(|at| *at > now).min()
+        [self.closing_at, self.rejecting_at].into_iter().flatten().filter(|at| *at > now).min()
     }
 }
 
@@ -66,7 +66,7 @@
         }
         // If another process accepts the client at once, a close right after an answer crosses with no request.
         let answered_at = self.last_answer_at.filter(|at| phase.has_successor && *at >= drain_start);
-        StageTimes { closing_at: Some(answered_at.unwrap_or(close_idle_at)), refusing_at: phase.refuse_at() }
+        StageTimes { closing_at: Some(answered_at.unwrap_or(close_idle_at)), rejecting_at: phase.reject_at() }
     }
 
     /// The stage at `now`.
--- a/crates/node/src/frontend/tests/pipelining.rs
+++ b/crates/node/src/frontend/tests/pipelining.rs
@@ -92,15 +92,15 @@
 /// The reply to the next request, which has to arrive soon and is to be served.
 async fn next_reply(inbox: &mut UnboundedReceiver<Message>) -> oneshot::Sender<Answer> {
     match with_clock_held(inbox.recv()).await {
-        Some(Message::Request { admission: Admission::Serve, reply, .. }) => reply,
+        Some(Message::Request { admission: Admission::Admit, reply, .. }) => reply,
         _ => panic!("a request to serve"),
     }
 }
 
-/// Once no time is left, commands on a connection that is still in use are refused: in a stop before the kill, in a
+/// Once no time is left, commands on a connection that is still in use are rejected: in a stop before the kill, in a
 /// drain in time for the platform to find no recent request on it.
 #[tokio::test(start_paused = true)]
-async fn without_time_left_commands_behind_an_open_one_are_refused() {
+async fn without_time_left_commands_behind_an_open_one_are_rejected() {
     for (is_stop, served_after) in [(true, 2500), (false, 1800)] {
         with_client(&Limits::default(), |mut client, frontend, mut inbox| async move {
             client.write_all(b"mg k v Oa Pc=read,d=9000\r\n").await.unwrap();
@@ -117,7 +117,7 @@
             client.write_all(b"mg k v Oc Pc=read,d=9000\r\n").await.unwrap();
             let third = with_clock_held(inbox.recv()).await;
             assert!(
-                matches!(third, Some(Message::Request { admission: Admission::Refuse, .. })),
+                matches!(third, Some(Message::Request { admission: Admission::Reject, .. })),
                 "{is_stop}"
             );
         })
--- a/crates/node/src/frontend/tests/slow_readers.rs
+++ b/crates/node/src/frontend/tests/slow_readers.rs
@@ -108,7 +108,7 @@
 
 /// A client that reads its last answer slowly gets all of it, though it keeps sending: its connection does not end
 /// while the kernel has much of the answer still to send, as input after the end would reset it. What it sends is
-/// refused behind that answer.
+/// rejected behind that answer.
 #[tokio::test(start_paused = true)]
 async fn a_last_answer_that_is_read_slowly_is_not_cut_off_by_input() {
     const LENGTH: usize = 1 << 20;
@@ -124,15 +124,15 @@
         client.write_all(READ).await.unwrap();
         settle().await;
         let mut answers = Vec::new();
-        let refuse = async {
-            let Some(Message::Request { admission: Admission::Refuse, reply, .. }) = inbox.recv().await
+        let reject = async {
+            let Some(Message::Request { admission: Admission::Reject, reply, .. }) = inbox.recv().await
             else {
                 panic!("a request that is not to be forwarded")
             };
             assert!(reply.send(Answer::without_request(protocol::busy(None))).is_ok());
         };
         let (ended, ()) =
-            with_clock_held(async { tokio::join!(client.read_to_end(&mut answers), refuse) }).await;
+            with_clock_held(async { tokio::join!(client.read_to_end(&mut answers), reject) }).await;
         ended.unwrap();
         assert_eq!(answers.len(), LENGTH + protocol::busy(None).len());
         assert!(answers.ends_with(&protocol::busy(None)));
--- a/crates/node/src/frontend/tests/stop.rs
+++ b/crates/node/src/frontend/tests/stop.rs
@@ -96,7 +96,7 @@
         let serve_time = last_served.clone();
         tokio::task::spawn_local(async move {
             while let Some(Message::Request { admission, reply, .. }) = inbox.recv().await {
-                if admission == Admission::Refuse {
+                if admission == Admission::Reject {
                     let _ = reply.send(Answer::without_request(protocol::busy(None)));
                     continue;
                 }
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -15,9 +15,9 @@
 /// Time from the start of a drain by an operator or a takeover until idle client connections are closed. Until the
 /// platform has moved clients to another node they go on using these connections, and may find no other.
 const DRAIN_CLOSE_AFTER: Duration = Duration::from_millis(1500);
-/// Time from the start of a drain until connections that clients still use refuse requests. The platform finds a fault
+/// Time from the start of a drain until connections that clients still use reject requests. The platform finds a fault
 /// in a connection that 4 s after the start carries a request of the last 2 s.
-const DRAIN_REFUSE_AFTER: Duration = Duration::from_millis(1900);
+const DRAIN_REJECT_AFTER: Duration = Duration::from_millis(1900);
 
 /// Lifecycle state of the node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -73,10 +73,10 @@
         self.draining_since().map(|since| since + self.close_idle_after)
     }
 
-    /// Time from which requests are refused on connections that clients still use, if clients are asked to leave.
-    pub fn refuse_at(&self) -> Option<Instant> {
+    /// Time from which requests are rejected on connections that clients still use, if clients are asked to leave.
+    pub fn reject_at(&self) -> Option<Instant> {
         match self.state {
-            LifecycleState::Draining => Some(self.since + DRAIN_REFUSE_AFTER),
+            LifecycleState::Draining => Some(self.since + DRAIN_REJECT_AFTER),
             LifecycleState::Stopping => self.answer_deadline,
             LifecycleState::Starting | LifecycleState::Ready => None,
         }
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -33,9 +33,9 @@
 /// Whether a request may still be served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
-    Serve,
+    Admit,
     /// Its connection has to end and no time is left: it gets its answer, and no attempt.
-    Refuse,
+    Reject,
 }
 
 /// Messages to the driver.
