--- /dev/null
+++ b/review/standins-2/src/main.rs
@@ -0,0 +1,63 @@
+//! Runs one case: `review-2 CASE FOLDER`, from the repository's root. `TROUBLE=0` leaves the disruption out.
+
+mod behind_value;
+mod gone;
+mod kill_behind;
+mod large_upgrade;
+mod rollback;
+
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::path::{Path, PathBuf};
+use std::process::exit;
+
+use review_standins_2::record::Record;
+use review_standins_2::Verdict;
+
+/// What a case is given.
+pub struct Case {
+    pub root: PathBuf,
+    pub record: Record,
+    pub trouble: bool,
+}
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    if arguments.get(1).map(String::as_str) == Some("servers") {
+        return large_upgrade::servers(&arguments[2..]);
+    }
+    let (Some(name), Some(folder)) = (arguments.get(1), arguments.get(2)) else {
+        eprintln!("usage: review-2 CASE FOLDER");
+        exit(2);
+    };
+    let record = match Record::create(&Path::new(folder).join("record.txt")) {
+        Ok(record) => record,
+        Err(error) => {
+            eprintln!("no record: {error}");
+            exit(2);
+        }
+    };
+    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let case = Case { root: std::env::current_dir().unwrap(), record: record.clone(), trouble };
+    record.line(&format!(
+        "case {name}, {}",
+        if trouble { "with the disruption" } else { "without the disruption" }
+    ));
+    let play = || match name.as_str() {
+        "behind-value" => behind_value::run(&case),
+        "gone" => gone::run(&case),
+        "kill-behind" => kill_behind::run(&case),
+        "large-upgrade" => large_upgrade::run(&case),
+        "rollback" => rollback::run(&case),
+        _ => Verdict::NotRun(format!("no case {name}")),
+    };
+    // The processes that a case has started end with it, whatever happens.
+    let verdict = catch_unwind(AssertUnwindSafe(play)).unwrap_or(Verdict::NotRun("the case failed".into()));
+    let (text, code) = match verdict {
+        Verdict::Held => ("the rule held".to_string(), 0),
+        Verdict::Broken => ("the rule was broken".to_string(), 1),
+        Verdict::NotRun(why) => (format!("not run: {why}"), 2),
+    };
+    record.line(&text);
+    println!("{text}");
+    exit(code);
+}
