Review case 8: ids of clients that have left run again at the new process of an upgrade

Added: case 8: clients leave with a write in work, an upgrade follows, and the ids come again within the time of the writes and behind the 1.2 s in which cache servers drop a repeat.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -3,6 +3,7 @@
 mod gone;
 mod kill_behind;
 mod large_upgrade;
+mod repeat;
 mod rollback;
 
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -45,6 +46,7 @@
         "gone" => gone::run(&case),
         "kill-behind" => kill_behind::run(&case),
         "large-upgrade" => large_upgrade::run(&case),
+        "repeat" => repeat::run(&case),
         "rollback" => rollback::run(&case),
         _ => Verdict::NotRun(format!("no case {name}")),
     };
