--- a/review/standins-2/src/platform.rs
+++ b/review/standins-2/src/platform.rs
@@ -4,6 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -82,6 +83,16 @@
     }
 }
 
+/// Nodes that have been started and not ended.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the nodes that this process has started.
+pub fn end_nodes() {
+    for id in RUNNING.lock().unwrap().drain(..) {
+        let _ = Command::new("/bin/sh").args(["-c", &format!("kill -KILL {id}")]).status();
+    }
+}
+
 /// A node, killed on drop.
 pub struct Node {
     child: Child,
@@ -115,6 +126,7 @@
             .stderr(log)
             .spawn()
             .map_err(|error| error.to_string())?;
+        RUNNING.lock().unwrap().push(child.id());
         Ok(Node { child, address: setup.listen })
     }
 
@@ -157,6 +169,7 @@
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        RUNNING.lock().unwrap().retain(|id| *id != self.child.id());
     }
 }
 
