Give the system a client's answers in a stop, and begin nothing that the kill may cut

Cause: TCP_NOTSENT_LOWAT of 64 KiB kept the value in the cache server's connection also in a stop, where only what the system holds outlives the process; and a command was begun whatever lay ahead of its answer.

Change: from SIGTERM on the limit is lifted while there is output, the send buffer is made large enough where the system grants it, and a connection counts as in use until the system has sent what it took. In a stop a command is begun only when the system has taken everything ahead of it, and else rejected at the time to reject.

--- a/crates/node/src/frontend/client.rs
+++ b/crates/node/src/frontend/client.rs
@@ -12,6 +12,7 @@
 use tracing::debug;
 
 use super::input::{command_ids, InputBuffer};
+use super::kernel_backlog::KernelBacklog;
 use super::output_buffer::OutputBuffer;
 use super::shared::{Frontend, Rank};
 use super::stage::Stage;
@@ -74,6 +75,8 @@
     pub(super) last_written_at: Instant,
     /// Since when there has been unsent output without a break, and the value of `bytes_written` at that time.
     pub(super) unsent_since: (Instant, u64),
+    /// What the system took in a stop beyond its usual limit and has not sent.
+    pub(super) kernel_backlog: Option<KernelBacklog>,
     /// Bytes written so far, and the requests that end once that many bytes are written.
     pub(super) bytes_written: u64,
     pub(super) unfinished_requests: VecDeque<(u64, RequestGuard, RequestOutcome)>,
@@ -137,6 +140,7 @@
             output: OutputBuffer::default(),
             last_written_at: since,
             unsent_since: (since, 0),
+            kernel_backlog: None,
             bytes_written: 0,
             unfinished_requests: VecDeque::new(),
             body: None,
@@ -159,11 +163,6 @@
         !self.pending.is_empty() || !self.output.is_empty() || self.body.is_some()
     }
 
-    /// Whether nothing is to be sent and no part of a command has arrived.
-    pub(super) fn is_between_requests(&self) -> bool {
-        !self.owes_answers() && self.input.is_empty()
-    }
-
     /// Withdraws the pending requests, as their answers are no longer wanted.
     pub(super) fn withdraw_pending(&mut self) {
         self.gone.set();
--- a/crates/node/src/frontend/commands.rs
+++ b/crates/node/src/frontend/commands.rs
@@ -57,7 +57,8 @@
         let (max_pending, max_unsent) =
             if is_answer_memory_scarce { (1, 1) } else { (MAX_PIPELINE, MAX_UNSENT_BYTES) };
         let has_capacity = self.pending.len() < max_pending && self.output.len() < max_unsent;
-        !self.input_closed && !self.is_delayed(now) && has_capacity
+        let must_wait = self.answers_may_be_cut() && self.stage != Stage::Rejecting;
+        !self.input_closed && !self.is_delayed(now) && !must_wait && has_capacity
     }
 
     /// Starts the complete commands while there is capacity; the others wait until an answer on this connection frees
--- a/crates/node/src/frontend/mod.rs
+++ b/crates/node/src/frontend/mod.rs
@@ -4,6 +4,7 @@
 mod closing;
 mod commands;
 mod input;
+mod kernel_backlog;
 mod output;
 mod output_buffer;
 mod serve;
--- a/crates/node/src/frontend/output.rs
+++ b/crates/node/src/frontend/output.rs
@@ -114,6 +114,9 @@
 
     /// When the client will have read too little of its answers for too long. What it sends meanwhile does not count.
     pub(super) fn stall_deadline(&self) -> Instant {
+        if let Some(deadline) = self.kernel_stall_deadline() {
+            return deadline;
+        }
         let (since, written) = self.unsent_since;
         let allowed = time_at_min_rate(self.bytes_written - written);
         self.last_written_at.min(since + allowed) + STALL_TIMEOUT
--- a/crates/node/src/frontend/serve.rs
+++ b/crates/node/src/frontend/serve.rs
@@ -6,7 +6,6 @@
 
 use bytes::Bytes;
 use hallpin_protocol as protocol;
-use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::io::Interest;
 use tokio::net::tcp::ReadHalf;
@@ -16,16 +15,13 @@
 use super::closing::peek;
 use super::commands::MAX_UNSENT_BYTES;
 use super::input::{InputBuffer, READ_CHUNK_BYTES};
+use super::kernel_backlog::{drained, limit_unsent, MAX_KERNEL_UNSENT_BYTES};
 use super::shared::{EvictionEntry, Rank, STALL_EVICTION_DELAY};
 use crate::answer::Answer;
 use crate::memory::MemoryUse;
 use crate::metrics::{RequestGuard, RequestOutcome};
 use crate::upstream::{BodyStream, BrokenBody, MAX_UNSENT_BODY_BYTES};
 
-/// Bytes that the kernel may hold for a client beyond the client's receive window. By default it holds some MiB: a
-/// client that reads steadily would then seem to read nothing while part of these drains, and one that has most of
-/// its answer still to read would seem to have it all.
-const MAX_KERNEL_UNSENT_BYTES: u32 = 64 * 1024;
 /// Time from connecting to the end of the first command, and from the first byte of a later one to its last: a client
 /// that is silent or sends single bytes must not hold a connection for long.
 pub(super) const COMMAND_TIMEOUT: Duration = Duration::from_millis(2300);
@@ -38,8 +34,7 @@
         if self.stream.set_nodelay(true).is_err() {
             return;
         }
-        // If the system does not support this limit, it buffers more and the times below are coarser.
-        let _ = SockRef::from(&self.stream).set_tcp_notsent_lowat(MAX_KERNEL_UNSENT_BYTES);
+        limit_unsent(&self.stream, MAX_KERNEL_UNSENT_BYTES);
         let frontend = self.frontend.clone();
         loop {
             let now = Instant::now();
@@ -50,8 +45,12 @@
             if self.has_unread_input && !self.send_available() {
                 return self.mark_client_gone();
             }
+            if phase.answer_deadline.is_some() {
+                self.update_kernel_backlog(now);
+            }
             self.start_commands(now);
-            let (owes_answers, is_idle) = (self.owes_answers(), self.is_between_requests());
+            let owes_answers = self.owes_answers() || self.kernel_backlog.is_some();
+            let is_idle = !owes_answers && self.input.is_empty();
             if self.input_closed && !owes_answers {
                 return self.close_after_answers().await;
             }
@@ -74,7 +73,7 @@
             }
             let unsent = self.output.len();
             let evictable_at = self.last_written_at + STALL_EVICTION_DELAY;
-            let stalled = unsent > 0 && evictable_at <= now;
+            let stalled = unsent > 0 && evictable_at <= now && self.kernel_backlog.is_none();
             let rank = match stalled {
                 true => Rank::Stalled,
                 false if self.is_trusted => Rank::Idle,
@@ -96,7 +95,11 @@
             let next_stage = stage_times.next_after(now);
             let delay_ends = (queued && self.is_delayed(now)).then_some(self.paused_until);
             let stall_deadline = self.stall_deadline();
-            let output_deadline = if stalled { stall_deadline } else { stall_deadline.min(evictable_at) };
+            let waits_for_stall = stalled || self.kernel_backlog.is_some();
+            let output_deadline =
+                if waits_for_stall { stall_deadline } else { stall_deadline.min(evictable_at) };
+            let has_unsent = unsent > 0 || self.kernel_backlog.is_some();
+            let awaits_drain = self.awaits_drain();
             let (reader, mut writer) = self.stream.split();
             let next_bytes = self.output.next_bytes();
             tokio::select! {
@@ -143,7 +146,8 @@
                 _ = self.phases.changed() => {}
                 () = sleep_until(next_stage.unwrap_or(now)), if next_stage.is_some() => {}
                 () = sleep_until(delay_ends.unwrap_or(now)), if delay_ends.is_some() => {}
-                () = sleep_until(output_deadline), if unsent > 0 => if output_deadline == stall_deadline {
+                () = drained(reader.as_ref()), if awaits_drain => {}
+                () = sleep_until(output_deadline), if has_unsent => if output_deadline == stall_deadline {
                     return self.record_stall();
                 },
                 // To a client that has sent nothing, an error would look like the answer to its next request.
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -13,6 +13,7 @@
 mod immediate_failures;
 mod interrupted_requests;
 mod kill;
+mod kill_long_values;
 mod long_values;
 mod malformed;
 mod operators;
