Keep a point of the hash ring in eight bytes, and sort the ring without a second half

Cause: the ring kept 32 bytes for each of 128 points of a server, its vector doubled as it grew, and the stable sort took half as much again: 5,553 bytes a server in the balancer's tables and 8,205 at the peak, counted by an allocator.

Change: a point is the upper half of its hash, a key into a table of servers and the rank; where upper halves are equal the lower half is computed anew, so owners are the same. The vector grows exactly, points are sorted in place, few new ones are merged in.

--- a/crates/balancer/src/balance/hash_ring.rs
+++ b/crates/balancer/src/balance/hash_ring.rs
@@ -1,7 +1,10 @@
 //! The hash ring, which maps each slot of a fixed slot array to the server that owns it.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 
+use rustc_hash::FxHashSet;
+use slab::Slab;
 use twox_hash::XxHash3_64;
 
 use crate::interface::{Key, ServerId};
@@ -11,6 +14,11 @@
 const SLOT_BITS: u32 = 16;
 /// Points of a server of weight 1; shares of servers vary by about 1/sqrt(128), 9 %.
 const POINTS_PER_UNIT_WEIGHT: f64 = 128.0;
+/// Most servers with points.
+const MAX_SERVERS: usize = 1 << u16::BITS;
+/// Up to this fraction of the points is merged into the others; of more the copy would take too much memory,
+/// and all are sorted in place.
+const MAX_MERGED_FRACTION: usize = 8;
 
 /// Weights by server.
 pub(crate) type Weights = BTreeMap<ServerId, f64>;
@@ -54,74 +62,133 @@
 
 /// A virtual node of a server; its slot is the top bits of its hash. Only the points of low rank of a server
 /// of a slow kind are active, as rebuilding the ring at each change of speed takes more time than a node has.
+///
+/// It has eight bytes, as the points are most of the memory that a server takes.
+#[derive(Clone, Copy)]
 pub(crate) struct Point {
-    hash: u64,
-    server: ServerId,
+    /// The upper half of the hash. The lower half is computed anew where two points share the upper one.
+    upper_hash: u32,
+    /// Key of the server in [`HashRing::servers`].
+    server: u16,
     rank: u16,
 }
 
 impl Point {
-    pub(super) fn server(&self) -> &ServerId {
-        &self.server
+    fn slot(&self) -> u64 {
+        u64::from(self.upper_hash >> (u32::BITS - SLOT_BITS))
     }
+}
 
-    pub(super) fn rank(&self) -> u16 {
-        self.rank
-    }
+/// Hash of a server's point.
+fn hash_point(server: &ServerId, rank: u16) -> u64 {
+    hash(&[server.0.as_bytes(), &rank.to_le_bytes()].concat())
+}
+
+/// Order of two points by their hashes.
+fn compare(servers: &Slab<ServerId>, a: &Point, b: &Point) -> Ordering {
+    let hash_of = |point: &Point| hash_point(&servers[usize::from(point.server)], point.rank);
+    a.upper_hash.cmp(&b.upper_hash).then_with(|| hash_of(a).cmp(&hash_of(b)))
 }
 
 /// All points, sorted by hash.
 #[derive(Default)]
 pub(crate) struct HashRing {
+    /// Servers that have points.
+    servers: Slab<ServerId>,
     points: Vec<Point>,
 }
 
 impl HashRing {
-    /// Adds a server's points. The ring has to be sorted before the next lookup.
-    pub(crate) fn add(&mut self, server: &ServerId, count: u16) {
-        let point = |rank: u16| {
-            let hash = hash(&[server.0.as_bytes(), &rank.to_le_bytes()].concat());
-            Point { hash, server: server.clone(), rank }
+    /// Adds the points of servers that have none yet, with the number of each.
+    pub(crate) fn add<'a>(&mut self, servers: impl Iterator<Item = (&'a ServerId, u16)> + Clone) {
+        let sorted = self.points.len();
+        // Exactly, as a vector that doubles would take up to twice the memory.
+        self.points.reserve_exact(servers.clone().map(|(_, count)| usize::from(count)).sum());
+        for (server, count) in servers {
+            self.append_points(server, count);
+        }
+        let added = self.points.len() - sorted;
+        let servers = &self.servers;
+        if added > self.points.len() / MAX_MERGED_FRACTION {
+            self.points.sort_unstable_by(|a, b| compare(servers, a, b));
+        } else {
+            self.points[sorted..].sort_unstable_by(|a, b| compare(servers, a, b));
+            merge_tail(servers, &mut self.points, sorted);
+        }
+    }
+
+    /// Appends a server's points. Servers beyond [`MAX_SERVERS`] get none.
+    fn append_points(&mut self, server: &ServerId, count: u16) {
+        if self.servers.len() == MAX_SERVERS {
+            return;
+        }
+        let key = self.servers.insert(server.clone()) as u16;
+        let point = |rank| {
+            let upper_hash = (hash_point(server, rank) >> u32::BITS) as u32;
+            Point { upper_hash, server: key, rank }
         };
         self.points.extend((0..count).map(point));
     }
 
     /// Removes the points of these servers.
-    pub(super) fn remove(&mut self, servers: &BTreeSet<ServerId>) {
-        self.points.retain(|point| !servers.contains(&point.server));
+    pub(super) fn remove(&mut self, removed: &BTreeSet<ServerId>) {
+        let keys = self.servers.iter().filter(|(_, server)| removed.contains(*server));
+        let keys: FxHashSet<u16> = keys.map(|(key, _)| key as u16).collect();
+        if !keys.is_empty() {
+            self.points.retain(|point| !keys.contains(&point.server));
+            self.servers.retain(|_, server| !removed.contains(server));
+        }
     }
 
-    /// Sorts the points. A stable sort is quick here: most points are one sorted run, followed by a short
-    /// unsorted one.
-    pub(crate) fn sort(&mut self) {
-        self.points.sort_by_key(|point| point.hash);
+    /// Frees memory that a larger fleet took.
+    pub(super) fn shrink(&mut self) {
+        if self.points.capacity() > 2 * self.points.len() {
+            self.points.shrink_to_fit();
+            self.servers.shrink_to_fit();
+        }
     }
 
     pub(super) fn len(&self) -> usize {
         self.points.len()
     }
 
-    /// The owner of slot h(key, probe): the server of the nearest active point clockwise.
+    /// The owner of slot h(key, probe): the server of the nearest point clockwise that is active by its
+    /// server and rank.
     pub(crate) fn owner(
         &self,
         key: Key,
         probe: u64,
-        is_active: impl Fn(&Point) -> bool,
+        is_active: impl Fn(&ServerId, u16) -> bool,
     ) -> Option<&ServerId> {
         let slot = hash_key(key, probe) >> (64 - SLOT_BITS);
         let first = self.first_index_at(slot);
         let clockwise = self.points[first..].iter().chain(&self.points[..first]);
-        clockwise.into_iter().find(|point| is_active(point)).map(Point::server)
+        let mut owners = clockwise.map(|point| (&self.servers[usize::from(point.server)], point.rank));
+        owners.find(|(server, rank)| is_active(server, *rank)).map(|(server, _)| server)
     }
 
     /// Index of the first point at or after a slot. Hashes are spread evenly, so the point is near the index
     /// that is proportional to the slot; each step of a binary search of a large ring would miss the CPU
     /// cache.
     fn first_index_at(&self, slot: u64) -> usize {
-        let is_before = |point: &&Point| point.hash >> (64 - SLOT_BITS) < slot;
+        let is_before = |point: &&Point| point.slot() < slot;
         let guess = (slot as usize * self.points.len()) >> SLOT_BITS;
         let back = self.points[..guess].iter().rev().take_while(|point| !is_before(point)).count();
         let forward = self.points[guess..].iter().take_while(is_before).count();
         guess - back + forward
     }
 }
+
+/// Merges the sorted points from `head` on into the sorted ones before, with a copy of the former alone.
+fn merge_tail(servers: &Slab<ServerId>, points: &mut [Point], mut head: usize) {
+    let tail = points[head..].to_vec();
+    let mut end = points.len();
+    for point in tail.iter().rev() {
+        while head > 0 && compare(servers, &points[head - 1], point).is_gt() {
+            (head, end) = (head - 1, end - 1);
+            points[end] = points[head];
+        }
+        end -= 1;
+        points[end] = *point;
+    }
+}
--- a/crates/balancer/src/balance/server.rs
+++ b/crates/balancer/src/balance/server.rs
@@ -1,7 +1,7 @@
 //! The state of one server.
 
 use super::concurrency_limit::{ConcurrencyLimit, CUT_FACTOR};
-use super::hash_ring::{point_count, Point};
+use super::hash_ring::point_count;
 use super::slow_start::{admitted_share, slow_start_factor};
 use crate::interface::{CacheMode, EndpointEntry, Guarantees, Seconds, ServerState, Settings};
 
@@ -104,8 +104,9 @@
         slow_start_factor(self.listed_start, now, guarantees) >= 1.0
     }
 
-    pub(super) fn has_active(&self, point: &Point) -> bool {
-        point.rank() < self.active_points
+    /// Whether the point of this rank is active.
+    pub(super) fn has_active_point(&self, rank: u16) -> bool {
+        rank < self.active_points
     }
 
     /// Whether the last successful answer came after this time.
--- a/crates/balancer/src/balance/servers.rs
+++ b/crates/balancer/src/balance/servers.rs
@@ -9,7 +9,7 @@
 use rustc_hash::FxBuildHasher;
 
 use super::fleet_totals::FleetTotals;
-use super::hash_ring::{HashRing, Point, Weights};
+use super::hash_ring::{HashRing, Weights};
 use super::kind_latency::KindLatency;
 use super::server::Server;
 use crate::interface::{EndpointEntry, Key, ServerId, Settings, TableEntry};
@@ -114,9 +114,9 @@
         is_eligible: impl Fn(&Server) -> bool,
     ) -> Option<(&ServerId, &Server)> {
         let is_eligible_point =
-            |server: &Server, point: &Point| server.has_active(point) && is_eligible(server);
-        let id = self.ring.owner(key, probe, |point| {
-            self.servers.get(point.server()).is_some_and(|server| is_eligible_point(server, point))
+            |server: &Server, rank: u16| server.has_active_point(rank) && is_eligible(server);
+        let id = self.ring.owner(key, probe, |id, rank| {
+            self.servers.get(id).is_some_and(|server| is_eligible_point(server, rank))
         })?;
         self.servers.get_key_value(id)
     }
--- a/crates/balancer/src/balance/servers/array.rs
+++ b/crates/balancer/src/balance/servers/array.rs
@@ -48,13 +48,9 @@
             return;
         }
         self.ring.remove(changed);
-        // Points are added in the order of the server table, which breaks ties between equal hashes.
-        for (id, server) in &self.servers {
-            if changed.contains(id) {
-                self.ring.add(id, server.points());
-            }
-        }
-        self.ring.sort();
+        let servers = self.servers.iter().map(|(id, server)| (id, server.points()));
+        self.ring.add(servers.filter(|(id, points)| *points > 0 && changed.contains(*id)));
+        self.ring.shrink();
     }
 
     /// Drops kinds without any server left: they would accumulate, and a quick one would make all others look
--- a/crates/balancer/src/balance/tests/mod.rs
+++ b/crates/balancer/src/balance/tests/mod.rs
@@ -7,6 +7,7 @@
 mod churn;
 mod interruptions;
 mod recovery;
+mod ring;
 
 use std::collections::BTreeMap;
 
--- a/crates/balancer/src/key_owner.rs
+++ b/crates/balancer/src/key_owner.rs
@@ -11,9 +11,6 @@
     let weights: Weights = entries.iter().map(|entry| (entry.server.clone(), entry.weight)).collect();
     let scale = scale(weights.values().copied());
     let mut ring = HashRing::default();
-    for (id, weight) in &weights {
-        ring.add(id, point_count(scaled_size(*weight, scale)));
-    }
-    ring.sort();
-    ring.owner(key, 0, |_| true).cloned()
+    ring.add(weights.iter().map(|(id, weight)| (id, point_count(scaled_size(*weight, scale)))));
+    ring.owner(key, 0, |_, _| true).cloned()
 }
--- a/crates/node/tests/memory/main.rs
+++ b/crates/node/tests/memory/main.rs
@@ -7,6 +7,7 @@
 #[allow(dead_code)]
 #[path = "../harness/mod.rs"]
 mod harness;
+mod large_fleets;
 mod many_clients;
 mod one_client;
 mod ordinary_clients;
